Add the operators' door, bans by hand and the drain

The module gets Event::Excluded and Event::Included; a defaulted constructor and one shared Outcome type make room for them.

--- a/src/api.rs
+++ b/src/api.rs
@@ -221,6 +221,25 @@
     pub retry: bool,
 }
 
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Request.
+    pub id: RequestId,
+    /// Attempt number, from 0.
+    pub attempt: u32,
+    /// Where it was sent.
+    pub server: ServerId,
+    /// How it ended.
+    pub status: Status,
+    /// Time from the send.
+    pub elapsed: Nanos,
+    /// The request is over.
+    pub last: bool,
+    /// Hit or miss, where told.
+    pub hit: Option<bool>,
+}
+
 /// What happens at the proxy.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -234,28 +253,17 @@
     /// A request arrived.
     Arrival(Request),
     /// An attempt ended.
-    Outcome {
-        /// Request.
-        id: RequestId,
-        /// Attempt number, from 0.
-        attempt: u32,
-        /// Where it was sent.
-        server: ServerId,
-        /// How it ended.
-        status: Status,
-        /// Time from the send.
-        elapsed: Nanos,
-        /// The request is over.
-        last: bool,
-        /// Hit or miss, where told.
-        hit: Option<bool>,
-    },
+    Outcome(Outcome),
     /// A timer ran out.
     Timer(u64),
     /// The client left; nothing more is owed.
     Expired(RequestId),
     /// A streamed answer began.
     First(RequestId),
+    /// Operators took a server out, whatever the list says of it until they give it back.
+    Excluded(ServerId),
+    /// Operators gave it back.
+    Included(ServerId),
 }
 
 /// What the proxy is to do, in order.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,7 +9,7 @@
 //! attempt or the final answer. Each exception to the ordinary path names the danger that it guards against.
 
 use crate::api::*;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 
 /// Candidates of a bucket.
 const SIGMA: usize = 2;
@@ -118,6 +118,16 @@
     tokens_at: Nanos,
     /// When an attempt there last ended on an open connection; 0: no connection was to be had since.
     reached_at: Nanos,
+    /// Operators want nothing sent there. It keeps its place in the hash, so that its keys come home.
+    banned: bool,
+    /// When they gave it back; it may have been restarted meanwhile, whatever the list says.
+    back_at: Nanos,
+}
+
+impl Server {
+    fn ready(&self) -> bool {
+        self.entry.state == State::Ready && !self.banned
+    }
 }
 
 #[derive(Clone, Copy, Default)]
@@ -167,17 +177,6 @@
     attempts: Vec<Attempt>,
 }
 
-/// How an attempt ended.
-struct Outcome {
-    id: RequestId,
-    attempt: usize,
-    server: ServerId,
-    status: Status,
-    elapsed: Nanos,
-    last: bool,
-    hit: Option<bool>,
-}
-
 /// What the last bad outcome of a request says of the servers.
 #[derive(Clone, Copy, Default, PartialEq)]
 enum End {
@@ -217,6 +216,7 @@
 }
 
 /// The decision module of one proxy.
+#[derive(Default)]
 pub struct Balancer {
     settings: Settings,
     random: u64,
@@ -224,6 +224,8 @@
     by_id: FxHashMap<ServerId, u32>,
     servers: Vec<Server>,
     free: Vec<u32>,
+    /// Servers that operators took out, listed or not.
+    banned: FxHashSet<ServerId>,
     version: u64,
     total_weight: f64,
     live: f64,
@@ -280,37 +282,16 @@
         Balancer {
             settings,
             random: seed,
-            by_id: FxHashMap::default(),
-            servers: Vec::new(),
-            free: Vec::new(),
-            version: 0,
-            total_weight: 0.0,
-            live: 0.0,
-            failing: 0.0,
-            subscribed: false,
-            asked: false,
-            failures: 0,
             ask_token: ASK,
-            buckets: FxHashMap::default(),
-            open: FxHashMap::default(),
             seen,
-            count: Fading::default(),
-            started: None,
-            inflight: 0.0,
             budget: 1.0,
-            served: Fading::default(),
             scopes,
             distinct,
-            unreached: 0.0,
-            origin_out: 0.0,
             origin_room: room,
-            origin_cut_at: 0,
-            origin_late: 0.0,
-            judged: Judged::default(),
-            usual_worth: 0.0,
             taken: 1.0,
             extra: 1.0,
             share_left,
+            ..Balancer::default()
         }
     }
 
@@ -320,10 +301,7 @@
         match event {
             Event::List { kind, entries } => self.list(now, kind, entries, actions),
             Event::Arrival(request) => self.arrival(now, request, actions),
-            Event::Outcome { id, attempt, server, status, elapsed, last, hit } => {
-                let attempt = attempt as usize;
-                self.outcome(now, Outcome { id, attempt, server, status, elapsed, last, hit }, actions);
-            }
+            Event::Outcome(o) => self.outcome(now, o, actions),
             Event::Timer(token) => match token & !(HEDGE - 1) {
                 ASK => self.ask_timer(token, actions),
                 HEDGE => self.hedge(now, token & (HEDGE - 1), actions),
@@ -334,6 +312,8 @@
                     self.ended(&open, 0.0);
                 }
             }
+            Event::Excluded(server) => self.ban(now, server, true, actions),
+            Event::Included(server) => self.ban(now, server, false, actions),
             Event::First(id) => {
                 if let Some(open) = self.open.get_mut(&id) {
                     open.streaming = true;
@@ -358,7 +338,7 @@
             return;
         }
         if kind != ListKind::Delta {
-            let named: rustc_hash::FxHashSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            let named: FxHashSet<ServerId> = entries.iter().map(|e| e.server).collect();
             let mut gone: Vec<ServerId> = self.by_id.keys().filter(|s| !named.contains(s)).copied().collect();
             gone.sort_unstable();
             gone.into_iter().for_each(|s| self.remove(s));
@@ -393,13 +373,25 @@
         }
     }
 
+    /// Operators take a server out, or give it back: then it counts as cold, and as never having failed.
+    fn ban(&mut self, now: Nanos, server: ServerId, out: bool, actions: &mut Vec<Action>) {
+        let changed = if out { self.banned.insert(server) } else { self.banned.remove(&server) };
+        if let Some(&i) = self.by_id.get(&server).filter(|_| changed) {
+            let s = &mut self.servers[i as usize];
+            (s.evidence, s.suspect_until, s.backoff) = (0.0, 0, 0);
+            (s.banned, s.back_at, s.tokens_at) = (out, if out { 0 } else { now }, now);
+            self.weigh();
+            actions.extend(out.then_some(Action::Close(server)));
+        }
+    }
+
     fn is_origin(&self, s: &Server) -> bool {
         self.settings.origin_kind == Some(s.entry.kind)
     }
 
     fn ranks(&self, s: &Server) -> bool {
         // The origin of an aside deployment is a server of last resort, never a candidate.
-        s.entry.state == State::Ready && !(self.settings.aside && self.is_origin(s))
+        s.ready() && !(self.settings.aside && self.is_origin(s))
     }
 
     /// May a class be sent to this server? The origin of an aside deployment is open to all.
@@ -440,7 +432,9 @@
         }
         let server = entry.server;
         let tokens = self.chance();
-        let fresh = Server { entry, inverse_weight: 1.0, tokens, tokens_at: now, ..Server::default() };
+        let banned = self.banned.contains(&server);
+        let fresh =
+            Server { entry, inverse_weight: 1.0, tokens, tokens_at: now, banned, ..Server::default() };
         let i = if let Some(i) = self.free.pop() {
             self.servers[i as usize] = fresh;
             i
@@ -496,7 +490,7 @@
         if bucket.version != self.version || bucket.ranked.is_empty() {
             let salt = mix(place(b) ^ 0x5ca1_ab1e);
             let class = (u64::from(b) / BUCKETS).checked_sub(1).map_or(usize::MAX, |c| c as usize);
-            let fits = |s: &Server| self.ranks(s) && self.open_to(class, s);
+            let fits = |s: &Server| (self.ranks(s) || s.banned) && self.open_to(class, s);
             let mut best: Vec<(f64, u32)> = Vec::with_capacity(RANKED + 1);
             for (i, s) in self.servers.iter().enumerate().filter(|(_, s)| fits(s)) {
                 // Danger: what only some servers may serve needs these; others' keys would crowd them.
@@ -530,8 +524,8 @@
                 let kept = old.iter().find(|o| o.server == *id).copied();
                 *w = kept.unwrap_or(Window { server: *id, ..Window::default() });
             }
-            // Reopen when the winner left the candidates.
-            if bucket.pin.is_some_and(|p| !ids.contains(&p)) {
+            // Reopen when the winner left the candidates, but for one that operators will give back.
+            if bucket.pin.is_some_and(|p| !ids.contains(&p) && !self.banned.contains(&p)) {
                 bucket.pin = None;
             }
         }
@@ -624,10 +618,11 @@
 
     /// The part of its capacity that a server surely has by now.
     fn warmth(&self, now: Nanos, s: &Server) -> f64 {
-        if s.entry.started == 0 || self.settings.cold == 0 {
+        let from = s.entry.started.max(s.back_at);
+        if from == 0 || self.settings.cold == 0 {
             return 1.0;
         }
-        let age = now.saturating_sub(s.entry.started) as f64 / self.settings.cold as f64;
+        let age = now.saturating_sub(from) as f64 / self.settings.cold as f64;
         let from = self.settings.cold_from.clamp(0.0, 1.0);
         (from + (1.0 - from) * age).min(1.0)
     }
@@ -636,7 +631,8 @@
     /// same growing part of its buckets.
     fn admitted(&self, now: Nanos, b: u32, s: &Server) -> bool {
         let warmth = self.warmth(now, s);
-        warmth >= 1.0 || unit(mix(s.entry.server ^ mix(place(b) ^ 0xc01d))) < COLD_KEYS * warmth
+        !s.banned
+            && (warmth >= 1.0 || unit(mix(s.entry.server ^ mix(place(b) ^ 0xc01d))) < COLD_KEYS * warmth)
     }
 
     /// Takes a send to a cold server from this proxy's part of what it can bear. Danger: a burst of hot keys
@@ -772,7 +768,7 @@
     /// Whether the rules allow this attempt. Whatever chose the server, nothing is sent without it.
     fn lawful(&self, now: Nanos, open: &Open, s: &Server) -> bool {
         let alone = open.attempts.iter().all(|a| !a.pending);
-        s.entry.state == State::Ready
+        s.ready()
             && self.open_to(open.class, s)
             && now < open.deadline
             && !open.streaming
@@ -935,7 +931,7 @@
         }
         let fits = |i: &u32| {
             let s = &self.servers[*i as usize];
-            s.entry.state == State::Ready && self.is_origin(s) && self.in_group(now, open, s)
+            s.ready() && self.is_origin(s) && self.in_group(now, open, s)
         };
         let all = (0..self.servers.len() as u32).filter(fits);
         all.min_by(|a, b| self.servers[*a as usize].inflight.total_cmp(&self.servers[*b as usize].inflight))
@@ -988,7 +984,7 @@
         let usual = class.map(|c| self.usual(c)).unwrap_or_default();
         self.observed(now, &o, class, &usual, cut);
         let Some(open) = self.open.get_mut(&o.id) else { return };
-        if let Some(a) = open.attempts.get_mut(o.attempt) {
+        if let Some(a) = open.attempts.get_mut(o.attempt as usize) {
             a.pending = false;
             a.may_have_run = !o.status.never_ran();
         }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -17,6 +17,8 @@
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call; none: there is no door for them.
+    pub mgmt: Option<SocketAddr>,
     pub seed: u64,
     pub sockets: usize,
     /// In bytes.
@@ -108,11 +110,20 @@
 
     fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let root: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
+        let may = |name: &str, field: &str| {
+            let told = match (variable(name), &root[field]) {
+                (Some(told), _) => told,
+                (None, Value::Null) => return Ok(None),
+                (None, Value::String(told)) => told.clone(),
+                (None, other) => return Err(format!("{field} is not an address: {other}")),
+            };
+            let addr = told.parse::<SocketAddr>();
+            addr.map(Some).map_err(|_| format!("{name} ({field}) is not an address: {told:?}"))
+        };
         let address = |name: &str, field: &str| {
-            let told = variable(name).or_else(|| root[field].as_str().map(str::to_owned));
-            let told = told.ok_or_else(|| format!("{field} is missing, and {name} is not set"))?;
-            told.parse::<SocketAddr>().map_err(|_| format!("{name} ({field}) is not an address: {told:?}"))
+            may(name, field)?.ok_or_else(|| format!("{field} is missing, and {name} is not set"))
         };
+        let mgmt = may("PROXY_MGMT", "mgmt")?;
         let (listen, discovery) = (address("PROXY_LISTEN", "listen")?, address(DISCOVERY, "discovery")?);
         let told = root.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
         let mut pairs = Vec::new();
@@ -157,7 +168,7 @@
                 .ok_or_else(|| format!("settings.caps.connect_timeout_ns is not a number: {other}"))?,
         };
         let connect_timeout = Duration::from_nanos(connect);
-        Ok(Config { listen, discovery, seed, sockets, memory, connect_timeout, settings, names, known })
+        Ok(Config { listen, discovery, mgmt, seed, sockets, memory, connect_timeout, settings, names, known })
     }
 }
 
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -7,7 +7,7 @@
 use hyper::Response;
 use ravenlug::api::*;
 use ravenlug::Balancer;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::RefCell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -82,6 +82,26 @@
     pending: FxHashMap<RequestId, Pending>,
 }
 
+/// Ids that were listed at some time: so many are remembered, the oldest forgotten first.
+const LISTED_MOST: usize = 1 << 14;
+
+#[derive(Default)]
+struct Listed {
+    known: FxHashSet<ServerId>,
+    order: VecDeque<ServerId>,
+}
+
+impl Listed {
+    fn add(&mut self, server: ServerId) {
+        if self.known.insert(server) {
+            self.order.push_back(server);
+            if self.order.len() > LISTED_MOST {
+                self.order.pop_front().map(|oldest| self.known.remove(&oldest));
+            }
+        }
+    }
+}
+
 pub struct Engine {
     clock: Clock,
     names: Names,
@@ -89,6 +109,7 @@
     core: RefCell<Core>,
     upstreams: Rc<Upstreams>,
     watch: mpsc::UnboundedSender<()>,
+    listed: RefCell<Listed>,
     myself: Weak<Engine>,
 }
 
@@ -106,6 +127,7 @@
             }),
             upstreams,
             watch,
+            listed: RefCell::default(),
             myself: myself.clone(),
         });
         engine.list(ListKind::Cached, config.known.as_ref().map_or(&[], |known| &known.servers));
@@ -127,10 +149,25 @@
         if kind != ListKind::Failed {
             self.upstreams.update(kind != ListKind::Delta, &entries);
         }
-        let entries = entries.into_iter().map(|(e, _)| e).collect();
+        let entries: Vec<Entry> = entries.into_iter().map(|(e, _)| e).collect();
+        entries.iter().for_each(|e| self.listed.borrow_mut().add(e.server));
         self.feed(&mut self.core.borrow_mut(), Event::List { kind, entries });
     }
 
+    /// Whether an id was ever listed.
+    pub fn listed(&self, id: &str) -> bool {
+        self.listed.borrow().known.contains(&server_id(id))
+    }
+
+    /// Operators take a server out, or give it back.
+    pub fn ban(&self, id: &str, out: bool) {
+        let server = server_id(id);
+        self.listed.borrow_mut().add(server);
+        self.upstreams.ban(server, out);
+        let event = if out { Event::Excluded(server) } else { Event::Included(server) };
+        self.feed(&mut self.core.borrow_mut(), event);
+    }
+
     /// A request has come; its answer comes from the ticket.
     pub fn arrive(&self, asked: Asked) -> Ticket {
         let Asked { mut request, job } = asked;
@@ -190,7 +227,7 @@
         let Attempt { server, sent, .. } = pending.attempts[number];
         let elapsed = self.clock.now().saturating_sub(sent);
         let last = pending.answer.is_none();
-        Event::Outcome { id: pending.id, attempt: number as u32, server, status, elapsed, last, hit }
+        Event::Outcome(Outcome { id: pending.id, attempt: number as u32, server, status, elapsed, last, hit })
     }
 
     /// Gives an event to the module and does what it says, and so on with what follows at once from that.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,12 +1,14 @@
 //! The listener, clients' connections and requests, their answers, and the drain.
 
 use super::config::Config;
+use super::control::Control;
 use super::discovery::{self, Discovery};
+use super::drain::{self, Drain};
 use super::engine::{Answer, Asked, Engine, Ticket};
 use super::gate::{Gate, Seen};
 use super::socket::{Descriptors, Permit, Socket};
 use super::upstream::{Job, Upstreams, TIME_LEFT};
-use super::{Body, BODY_MOST, BUFFER_MOST};
+use super::{admin, Body, BODY_MOST, BUFFER_MOST};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
@@ -59,14 +61,14 @@
 const TAKE_WITHIN: Duration = Duration::from_secs(2);
 /// A connection that has been without a request for so long is closed.
 const IDLE_MOST: Duration = Duration::from_secs(10);
-const LOOK_EVERY: Duration = Duration::from_millis(200);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own, discovery's.
 const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
 /// Memory that is no connection's.
 const OWN_MEMORY: usize = 8 << 20;
 /// New connections come for some time after SIGTERM; accepting goes on for at least the first span, until none
 /// has come for the second, and ends after the third.
-const ACCEPT_FOR: Duration = Duration::from_millis(450);
+const ACCEPT_FOR: Duration = drain::GENTLE;
 const QUIET_FOR: Duration = Duration::from_millis(100);
 const ACCEPT_MOST: Duration = Duration::from_millis(600);
 /// A proxy may be killed so long after the longest deadline after SIGTERM; it ends a little sooner.
@@ -109,7 +111,7 @@
 
     /// Danger: silence, a head that does not end and an answer that is not read would each hold a descriptor for
     /// good.
-    fn look(&self, now: Instant) {
+    fn look(&self, now: Instant, drain: &Drain) {
         if self.busy.get() {
             return;
         }
@@ -124,7 +126,10 @@
         if overdue {
             self.dropped.set(true);
             self.end();
-        } else if over(self.since.get(), IDLE_MOST) && self.socket.silent() {
+        } else if (over(self.since.get(), IDLE_MOST) || drain.ends(self.since.get(), now))
+            && self.seen.head_since.get().is_none()
+            && self.socket.silent()
+        {
             self.end();
         }
     }
@@ -137,7 +142,7 @@
     /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
     clients_most: usize,
     settings: api::Settings,
-    draining: Cell<bool>,
+    drain: Rc<Drain>,
     clients: RefCell<Vec<Rc<Client>>>,
     /// The ids of all requests that lack their answer. Their hash is keyed, since clients choose them.
     ids: RefCell<HashSet<HeaderValue>>,
@@ -164,12 +169,15 @@
     super::log(format_args!("listening on {bound}"));
     // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
     // room for, even if all of them do.
-    let room = config.memory.saturating_sub(OWN_MEMORY) / (BODY_MOST + 2 * BUFFER_MOST);
-    let descriptors = Descriptors::new(config.sockets.saturating_sub(OWN_DESCRIPTORS).min(room).max(8));
+    let (door, door_memory) = config.mgmt.map_or((0, 0), |_| (admin::DESCRIPTORS, admin::MEMORY));
+    let own = OWN_DESCRIPTORS + door;
+    let room = config.memory.saturating_sub(OWN_MEMORY + door_memory) / (BODY_MOST + 2 * BUFFER_MOST);
+    let descriptors = Descriptors::new(config.sockets.saturating_sub(own).min(room).max(8));
     let clients_most = descriptors.free() / 2;
     let settings = config.settings.clone();
     let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
     let (watch, asked) = mpsc::unbounded_channel();
+    let (mgmt, drain) = (config.mgmt, Rc::<Drain>::default());
     let (addr, version) = (config.discovery, config.known.as_ref().map(|known| known.version));
     let discovery = Discovery::new(addr, version, settings.must_ask_in);
     let engine = Engine::new(config, upstreams.clone(), watch);
@@ -192,12 +200,12 @@
         }
     });
     let server = Rc::new(Server {
-        engine,
+        engine: engine.clone(),
         upstreams,
         descriptors,
         clients_most,
         settings,
-        draining: Cell::new(false),
+        drain: drain.clone(),
         clients: RefCell::default(),
         ids: RefCell::default(),
         left: Notify::new(),
@@ -207,15 +215,23 @@
         loop {
             sleep(LOOK_EVERY).await;
             let now = Instant::now();
-            watched.clients.borrow().iter().for_each(|c| c.look(now));
+            watched.clients.borrow().iter().for_each(|c| c.look(now, &watched.drain));
         }
     });
+    if let Some(mgmt) = mgmt {
+        let control = Rc::new(Control { engine, drain });
+        let act = move |call| {
+            let control = control.clone();
+            async move { control.act(call).await }
+        };
+        admin::open(mgmt, act).await?;
+    }
     tokio::select! {
         biased;
         () = stop => {}
         never = server.accept_all(&listener) => match never {},
     }
-    server.drain(listener).await;
+    server.stop(listener).await;
     Ok(())
 }
 
@@ -303,7 +319,7 @@
                         Some(why) => bad(StatusCode::BAD_REQUEST, why),
                         None => server.respond(request, &client.socket).await,
                     };
-                    if server.draining.get() || client.closing.get() || client.seen.last.get() {
+                    if server.drain.on() || client.closing.get() || client.seen.last.get() {
                         closing(&mut response);
                     }
                     client.busy.set(false);
@@ -338,10 +354,10 @@
         });
     }
 
-    /// Answers what comes and asks clients away, then ends idle connections, and waits for the rest.
-    async fn drain(self: &Rc<Self>, listener: TcpListener) {
+    /// Answers what comes and asks clients away while idle connections end, and waits for the rest.
+    async fn stop(self: &Rc<Self>, listener: TcpListener) {
         super::log("draining");
-        self.draining.set(true);
+        self.drain.stop();
         let start = Instant::now();
         let mut until = start + ACCEPT_FOR;
         while let Ok(accepted) = timeout_at(until.min(start + ACCEPT_MOST), listener.accept()).await {
@@ -349,7 +365,6 @@
             until = until.max(Instant::now() + QUIET_FOR);
         }
         drop(listener);
-        self.clients.borrow().iter().for_each(|c| c.end());
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let end = start + Duration::from_nanos(longest) + END_BEFORE;
         while !self.clients.borrow().is_empty() {
@@ -365,7 +380,7 @@
 
     async fn respond(&self, request: Request<Incoming>, socket: &Rc<Socket>) -> Response<Body> {
         if request.uri().path() == "/_health" {
-            let ready = !self.draining.get() && self.engine.can_serve();
+            let ready = !self.drain.on() && self.engine.can_serve();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let may_ask = request.version() == Version::HTTP_11;
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -109,6 +109,8 @@
 /// All cache nodes that the list names.
 pub struct Upstreams {
     nodes: RefCell<FxHashMap<ServerId, Node>>,
+    /// Taken out by operators, listed or not.
+    banned: RefCell<FxHashSet<ServerId>>,
     descriptors: Rc<Descriptors>,
     connect_timeout: Duration,
     idle_most: Duration,
@@ -123,8 +125,8 @@
             0 => Duration::from_secs(5),
             limit => Duration::from_nanos(limit / 4 * 3),
         };
-        let nodes = RefCell::default();
-        Rc::new(Upstreams { nodes, descriptors, connect_timeout, idle_most, epochs: Cell::new(0) })
+        let (nodes, banned) = (RefCell::default(), RefCell::default());
+        Rc::new(Upstreams { nodes, banned, descriptors, connect_timeout, idle_most, epochs: Cell::new(0) })
     }
 
     /// Takes news of the list; `whole` when nodes that it does not name are gone.
@@ -154,9 +156,26 @@
         }
     }
 
+    /// Operators take a node out, or give it back. Danger: what is about to be written there must stay unwritten.
+    pub fn ban(&self, server: ServerId, out: bool) {
+        let mut banned = self.banned.borrow_mut();
+        if out {
+            banned.insert(server);
+        } else {
+            banned.remove(&server);
+        }
+        if let Some(node) = self.nodes.borrow_mut().get_mut(&server) {
+            self.epochs.set(self.epochs.get() + 1);
+            node.epoch = self.epochs.get();
+            node.idle.clear();
+        }
+    }
+
     /// Whether any node takes work.
     pub fn any_ready(&self) -> bool {
-        self.nodes.borrow().values().any(|n| n.ready && n.addr.is_some())
+        let banned = self.banned.borrow();
+        let ready = |(s, n): (&ServerId, &Node)| n.ready && n.addr.is_some() && !banned.contains(s);
+        self.nodes.borrow().iter().any(ready)
     }
 
     /// Closes the idle connections to a node.
@@ -237,7 +256,7 @@
     /// Where a node takes new work.
     fn open_to(&self, server: ServerId) -> Option<(SocketAddr, u64)> {
         let nodes = self.nodes.borrow();
-        let node = nodes.get(&server).filter(|n| n.ready)?;
+        let node = nodes.get(&server).filter(|n| n.ready && !self.banned.borrow().contains(&server))?;
         Some((node.addr?, node.epoch))
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -133,7 +133,7 @@
         }
         "report_back" => {
             let instance = instance(p)?;
-            let event = Event::Outcome {
+            let outcome = Outcome {
                 id: number(p, "corr")?,
                 attempt: number(p, "n")?,
                 server: server_id(part(p, "node")?),
@@ -143,7 +143,7 @@
                 hit: optional::<u32>(p, "note")?.filter(|n| *n > 0).map(|n| n == 1),
             };
             load(p)?;
-            Line::Event(instance, event)
+            Line::Event(instance, Event::Outcome(outcome))
         }
         "tick_due" => Line::Event(instance(p)?, Event::Timer(number(p, "handle")?)),
         "expired" => Line::Event(instance(p)?, Event::Expired(number(p, "corr")?)),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -107,7 +107,7 @@
         elapsed: Nanos,
     ) -> Vec<Action> {
         let last = status == Status::Ok;
-        self.event(Event::Outcome { id, attempt, server, status, elapsed, last, hit })
+        self.event(Event::Outcome(Outcome { id, attempt, server, status, elapsed, last, hit }))
     }
 
     /// Asks, answers and returns the server that was asked first.
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -719,7 +719,8 @@
                         [Status::Ok, Status::Miss, Status::Timeout, Status::ConnectFailed][i as usize % 4];
                     let (elapsed, last) = (long, status == Status::Ok);
                     let hit = Some(i % 2 == 0);
-                    actions = p.event(Event::Outcome { id, attempt, server, status, elapsed, last, hit });
+                    actions =
+                        p.event(Event::Outcome(Outcome { id, attempt, server, status, elapsed, last, hit }));
                 }
                 for token in [id, i << 56, 1 << 56 | id, 2 << 56 | i, u64::MAX] {
                     p.event(Event::Timer(token));
@@ -952,3 +953,49 @@
     let actions = p.end_after(id, 0, server, Status::Timeout, None, 100 * MS);
     assert_eq!((sent(&actions), finals(&actions)), (None, 1));
 }
+
+/// Danger: were a node that is out struck from the hash, its keys would settle elsewhere and each would be a miss
+/// more on its return.
+#[test]
+fn a_node_that_operators_took_out_gets_nothing_and_its_keys_come_home_after_the_call_back() {
+    let mut p = Proxy::with(settings(), entries(0..6));
+    let keys: Vec<u64> = (0..300).map(|k| k * 7919).collect();
+    let mut homes = Vec::new();
+    for key in &keys {
+        // Three hits pin a bucket.
+        homes.push((0..4).map(|_| p.served(*key, true)).last().expect("a server"));
+    }
+    let out = homes[0];
+    p.event(Event::Excluded(out));
+    p.event(Event::Excluded(out));
+    for key in &keys {
+        assert!((0..4).all(|_| p.served(*key, true) != out));
+    }
+    // Discovery's news changes nothing of it.
+    let listed = entries(0..6).into_iter().find(|e| e.server == out).expect("listed");
+    p.list(ListKind::Delta, vec![Entry { state: State::Gone, ..listed.clone() }]);
+    p.list(ListKind::Delta, vec![listed]);
+    p.list(ListKind::Full, entries(0..6));
+    assert!(keys.iter().all(|key| p.served(*key, true) != out));
+    p.event(Event::Included(out));
+    // It was restarted, for all that is known: it warms first, but is in use at once.
+    let asked = |p: &mut Proxy| keys.iter().filter(|key| p.served(**key, true) == out).count();
+    assert!(asked(&mut p) > 0);
+    p.now += 30 * SECOND;
+    let home = homes.iter().filter(|h| **h == out).count();
+    let now = asked(&mut p);
+    assert!(now * 10 >= home * 7, "{now} of {home} keys came home");
+}
+
+#[test]
+fn an_unknown_node_may_be_taken_out_and_stays_out_when_it_is_listed() {
+    let mut p = Proxy::new(settings(), 7);
+    let out = entry(0).server;
+    p.event(Event::Excluded(out));
+    p.list(ListKind::Cached, entries(0..1));
+    let (_, actions) = p.ask(1);
+    assert_eq!((sent(&actions), finals(&actions)), (None, 1));
+    p.event(Event::Included(out));
+    p.now += 30 * SECOND;
+    assert_eq!(p.served(1, true), out);
+}
--- /dev/null
+++ b/tests/rig/mod.rs
@@ -0,0 +1,295 @@
+//! The real program between clients, nodes and discovery that a test plays by hand on loopback sockets.
+#![allow(dead_code)]
+
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc;
+use std::time::{Duration, Instant};
+
+/// How long a step may take before the test is given up: far longer than any takes.
+pub const LONG: Duration = Duration::from_secs(30);
+
+/// A message as it came: its first line, headers in lower case, and body.
+#[derive(Debug, PartialEq)]
+pub struct Message {
+    pub line: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Vec<u8>,
+}
+
+impl Message {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
+    }
+
+    pub fn status(&self) -> u16 {
+        self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).expect("a status line")
+    }
+}
+
+/// One end of a connection.
+pub struct Peer(pub BufReader<TcpStream>);
+
+impl Peer {
+    pub fn new(stream: TcpStream) -> Self {
+        stream.set_read_timeout(Some(LONG)).expect("time-out");
+        stream.set_write_timeout(Some(LONG)).expect("time-out");
+        Peer(BufReader::new(stream))
+    }
+
+    pub fn to(addr: SocketAddr) -> Self {
+        Self::new(TcpStream::connect(addr).expect("connected"))
+    }
+
+    pub fn write(&mut self, text: &str) {
+        self.0.get_mut().write_all(text.as_bytes()).expect("written");
+    }
+
+    /// The next message; `None` when the connection has ended.
+    pub fn read(&mut self) -> Option<Message> {
+        let mut line = String::new();
+        match self.0.read_line(&mut line) {
+            Ok(0) => return None,
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => return None,
+            read => read.expect("a line"),
+        };
+        let mut headers = Vec::new();
+        loop {
+            let mut header = String::new();
+            self.0.read_line(&mut header).expect("a header");
+            let Some((name, value)) = header.trim_end().split_once(':') else { break };
+            headers.push((name.to_lowercase(), value.trim().to_owned()));
+        }
+        let mut message = Message { line: line.trim_end().to_owned(), headers, body: Vec::new() };
+        let length = message.header("content-length").map_or(0, |l| l.parse().expect("a length"));
+        message.body.resize(length, 0);
+        self.0.read_exact(&mut message.body).expect("a body");
+        Some(message)
+    }
+
+    /// The next final answer: interim ones are passed over.
+    pub fn answer(&mut self) -> Message {
+        loop {
+            let message = self.read().expect("an answer");
+            if message.status() >= 200 {
+                return message;
+            }
+        }
+    }
+
+    pub fn request(&mut self) -> Message {
+        self.read().expect("a request")
+    }
+
+    pub fn reply(&mut self, status: &str, headers: &str, body: &str) {
+        let length = body.len();
+        self.write(&format!("HTTP/1.1 {status}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"));
+    }
+
+    pub fn ask(&mut self, class: &str, more: &str) {
+        self.write(&get(class, more));
+    }
+}
+
+/// A request under an id of its own.
+pub fn get(class: &str, more: &str) -> String {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    get_as(&format!("own-{}", NUMBER.fetch_add(1, Ordering::Relaxed)), class, more)
+}
+
+pub fn get_as(id: &str, class: &str, more: &str) -> String {
+    format!(
+        "GET /{class}/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: backend.local\r\nX-Correlation-Id: {id}\r\n\
+         X-Account: acme\r\n{more}\r\n"
+    )
+}
+
+/// A server whose connections the test takes one by one.
+pub struct Server {
+    pub addr: SocketAddr,
+    pub taken: mpsc::Receiver<TcpStream>,
+}
+
+impl Server {
+    pub fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
+        let addr = listener.local_addr().expect("an address");
+        let (give, taken) = mpsc::channel();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if give.send(stream).is_err() {
+                    return;
+                }
+            }
+        });
+        Server { addr, taken }
+    }
+
+    pub fn take(&self) -> Peer {
+        Peer::new(self.taken.recv_timeout(LONG).expect("a connection"))
+    }
+
+    pub fn none_came(&self) -> bool {
+        self.taken.try_recv().is_err()
+    }
+}
+
+/// The next connection that any of some servers gets, and whose it is.
+pub fn take_any(servers: &[Server]) -> (usize, Peer) {
+    let until = Instant::now() + LONG;
+    while Instant::now() < until {
+        for (at, server) in servers.iter().enumerate() {
+            if let Ok(stream) = server.taken.recv_timeout(Duration::from_millis(1)) {
+                return (at, Peer::new(stream));
+            }
+        }
+    }
+    panic!("no connection came")
+}
+
+pub fn member(id: &str, addr: SocketAddr, kind: &str, state: &str) -> Value {
+    json!({"id": id, "addr": addr.to_string(), "zone": "a", "kind": kind, "cell": 0, "state": state,
+           "weight": 1.0, "started_ms": 0})
+}
+
+pub fn list(version: u64, full: bool, servers: &[Value]) -> Value {
+    json!({"version": version, "full": full, "servers": servers})
+}
+
+pub fn class(name: &str, effect: &str) -> Value {
+    json!({"name": name, "effect": effect, "group": "all", "promise_ns": 20_000_000_000u64,
+           "deadline_ns": 60_000_000_000u64, "dedup_window_ns": 60_000_000_000u64, "late_value": 0.5,
+           "value": 1.0, "stream": false})
+}
+
+pub fn config(discovery: SocketAddr, servers: &[Value]) -> Value {
+    json!({
+        "name": "n0", "listen": "127.0.0.1:0", "discovery": discovery.to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "news": {"of": ["a", "later"]},
+        "known": list(41, true, servers),
+        "settings": {
+            "categories": [class("read", "safe"), class("set", "keyed"), class("order", "unsafe")],
+            "customers": [{"name": "acme", "quota_rps": 1000.0, "fraction": 1.0}],
+            "localities": ["a"], "machine_types": ["std", "origin"], "zone": 0, "n_instances": 1,
+            "self_index": 0, "discovery": "subscribe", "over_share_worth": 0.1, "worth_by": "request",
+            "family_info": {"mode": "aside", "origin_kind": 1},
+            "caps": {"attempts_cap": 5, "cancelling": true, "second_copies": true,
+                     "conn_idle_ns": 60_000_000_000u64, "connect_timeout_ns": 20_000_000_000u64,
+                     "max_retry_after_ns": 2_000_000_000u64},
+            "rules": {"cold_from": 0.1, "cold_ns": 20_000_000_000u64, "fall_multiple": 3.0,
+                      "fall_ns": 3_000_000_000u64, "must_ask_in_ns": 40_000_000_000u64},
+            "an_unknown_key": 7
+        }
+    })
+}
+
+/// The program, ended when the test is over.
+pub struct Proxy {
+    pub child: Child,
+    pub addr: SocketAddr,
+    pub log: BufReader<ChildStderr>,
+    pub file: PathBuf,
+}
+
+pub fn start(text: &str) -> (Child, PathBuf) {
+    static NUMBER: AtomicU32 = AtomicU32::new(0);
+    let name = format!("rushquay-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, text).expect("a configuration file");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_rushquay"));
+    command.env_clear().env("PROXY_CONFIG", &file).stderr(Stdio::piped());
+    (command.spawn().expect("started"), file)
+}
+
+impl Proxy {
+    pub fn new(config: &Value) -> Self {
+        let (mut child, file) = start(&config.to_string());
+        let mut log = BufReader::new(child.stderr.take().expect("a log"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a first line");
+        let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
+        Proxy { child, addr: addr.unwrap_or_else(|| panic!("no address in {line:?}")), log, file }
+    }
+
+    pub fn client(&self) -> Peer {
+        Peer::to(self.addr)
+    }
+
+    pub fn signal(&self, name: &str) {
+        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(done.expect("kill").success());
+    }
+
+    pub fn health(&self) -> u16 {
+        let mut client = self.client();
+        client.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+        client.answer().status()
+    }
+
+    /// Where the operators' door is, as the log tells it; before anything else is read from the log.
+    pub fn door(&mut self) -> SocketAddr {
+        let mut line = String::new();
+        while !line.contains("operators call at") {
+            line.clear();
+            assert!(
+                self.log.read_line(&mut line).expect("a line") > 0,
+                "the log ended before the door opened"
+            );
+        }
+        line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
+    }
+
+    /// Waits for a line of the log; returns how many came before it.
+    pub fn logged(&mut self, part: &str) -> usize {
+        for before in 0.. {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("a line") > 0, "the log ended before {part:?}");
+            if line.contains(part) {
+                return before;
+            }
+        }
+        unreachable!("the log is endless")
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+/// A proxy with one cache node, an origin and discovery.
+pub struct Rig {
+    pub proxy: Proxy,
+    pub cache: Server,
+    pub origin: Server,
+    pub discovery: Server,
+}
+
+pub fn rig() -> Rig {
+    let (cache, origin, discovery) = (Server::new(), Server::new(), Server::new());
+    let servers = [member("c1", cache.addr, "std", "ready"), member("o1", origin.addr, "origin", "ready")];
+    let proxy = Proxy::new(&config(discovery.addr, &servers));
+    Rig { proxy, cache, origin, discovery }
+}
+
+/// One call at an operators' door; the status of its answer.
+pub fn call(door: SocketAddr, method: &str, path: &str, body: &str) -> u16 {
+    let mut caller = Peer::to(door);
+    let length = body.len();
+    caller.write(&format!("{method} {path} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}"));
+    let answer = caller.answer();
+    assert_eq!((answer.header("connection"), caller.read()), (Some("close"), None));
+    answer.status()
+}
+
+/// A call about one cache node.
+pub fn about(door: SocketAddr, call_path: &str, id: &str) -> u16 {
+    call(door, "POST", call_path, &json!({ "id": id }).to_string())
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -168,8 +168,15 @@
         let (server, sent) = (t.server, t.sent);
         r.over |= status == Status::Ok;
         let last = r.over;
-        let event =
-            Event::Outcome { id, attempt: n as u32, server, status, elapsed: now - sent, last, hit: None };
+        let event = Event::Outcome(Outcome {
+            id,
+            attempt: n as u32,
+            server,
+            status,
+            elapsed: now - sent,
+            last,
+            hit: None,
+        });
         let actions = self.proxy.event(event);
         self.idle(server);
         self.check(actions);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -107,8 +107,10 @@
 #[test]
 fn lines_keep_their_values() {
     let line = "report_back proxy_3 2526988522394052 1 node_abuevth done 18500000 1 2 3.5,-";
-    let Ok(Line::Event(instance, Event::Outcome { id, attempt, server, status, elapsed, last, hit })) =
-        wire::parse(line)
+    let Ok(Line::Event(
+        instance,
+        Event::Outcome(Outcome { id, attempt, server, status, elapsed, last, hit }),
+    )) = wire::parse(line)
     else {
         panic!("not an outcome")
     };
