--- a/src/bin/ravenlug-drill.rs
+++ b/src/bin/aniseyoke-benchlink.rs
@@ -1,9 +1,9 @@
 //! Plays the bench's wire on standard input and output: one decision module for each instance, nothing shared.
 #![forbid(unsafe_code)]
 
-use ravenlug::api::{Action, Entry, Event, ListKind, Nanos, ServerId};
-use ravenlug::wire::{self, Line};
-use ravenlug::Balancer;
+use aniseyoke::api::{Action, Entry, Event, ListKind, Nanos, ServerId};
+use aniseyoke::wire::{self, Line};
+use aniseyoke::Balancer;
 use rustc_hash::FxHashMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -130,7 +130,7 @@
     match run() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("ravenlug-drill: {e}");
+            eprintln!("aniseyoke-benchlink: {e}");
             std::process::ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! ravenlug decides, for a proxy that spreads keys over cache servers before a slow origin, which server
+//! aniseyoke decides, for a proxy that spreads keys over cache servers before a slow origin, which server
 //! gets each request. [`logic`] holds every decision, [`api`] its types, [`wire`] a text codec for
 //! the adapter.
 #![forbid(unsafe_code)]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -1,4 +1,4 @@
-//! Every decision of ravenlug. The interface (types, settings, events, actions) is `src/api.rs`.
+//! Every decision of aniseyoke. The interface (types, settings, events, actions) is `src/api.rs`.
 //!
 //! The ordinary path is Go-With-The-Winner: a key's bucket has SIGMA hashed candidates, each with a window of
 //! its last TAU outcomes; the first candidate with TAU hits in a row wins the bucket and keeps it.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a proxy: the `PROXY_*` variables and the JSON file that they name.
 
-use ravenlug::api::{server_id, Entry, Nanos, Settings, State};
+use aniseyoke::api::{server_id, Entry, Nanos, Settings, State};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -128,7 +128,7 @@
         let told = root.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
         let mut pairs = Vec::new();
         flatten("", told, &mut pairs);
-        let settings = ravenlug::wire::settings(pairs.iter().map(String::as_str))
+        let settings = aniseyoke::wire::settings(pairs.iter().map(String::as_str))
             .map_err(|e| format!("settings: {e}"))?;
         let names = Names {
             classes: names(told, "categories")?,
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -3,10 +3,10 @@
 
 use super::config::{Config, Member, Names};
 use super::upstream::{Ended, Job, Tether, Upstreams};
+use aniseyoke::api::*;
+use aniseyoke::Balancer;
 use hyper::body::Bytes;
 use hyper::Response;
-use ravenlug::api::*;
-use ravenlug::Balancer;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::RefCell;
 use std::collections::VecDeque;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -34,6 +34,6 @@
     let room = MOST + START.get_or_init(Instant::now).elapsed().as_secs();
     if WRITTEN.load(Ordering::Relaxed) < room {
         WRITTEN.fetch_add(1, Ordering::Relaxed);
-        let _ = writeln!(std::io::stderr(), "rushquay: {line}");
+        let _ = writeln!(std::io::stderr(), "aniseyoke: {line}");
     }
 }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -2,13 +2,13 @@
 
 use super::socket::{Descriptors, Io, Socket};
 use super::{Body, BODY_MOST, BUFFER_MOST};
+use aniseyoke::api::{Entry, Nanos, ServerId, State, Status};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use hyper_util::rt::TokioIo;
-use ravenlug::api::{Entry, Nanos, ServerId, State, Status};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -1,8 +1,8 @@
 //! The module's decisions, one behaviour a test.
 
 mod common;
+use aniseyoke::api::*;
 use common::*;
-use ravenlug::api::*;
 use std::collections::BTreeMap;
 
 const KEY: u64 = 0xabcdef;
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -1,8 +1,8 @@
 //! What a module holds does not grow without end, whatever comes and goes.
 
 mod common;
+use aniseyoke::api::*;
 use common::*;
-use ravenlug::api::*;
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicIsize, Ordering};
 
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -667,7 +667,7 @@
         assert!(log.contains(named) && log.lines().count() == 1, "{named}: {log:?}");
         assert_eq!(ended.status.code(), Some(1));
     }
-    let unset = Command::new(env!("CARGO_BIN_EXE_rushquay")).env_clear().output().expect("run");
+    let unset = Command::new(env!("CARGO_BIN_EXE_aniseyoke")).env_clear().output().expect("run");
     assert!(!unset.status.success() && String::from_utf8_lossy(&unset.stderr).contains("PROXY_CONFIG"));
 }
 
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -197,10 +197,10 @@
 
 pub fn start(text: &str) -> (Child, PathBuf) {
     static NUMBER: AtomicU32 = AtomicU32::new(0);
-    let name = format!("rushquay-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
+    let name = format!("aniseyoke-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::Relaxed));
     let file = std::env::temp_dir().join(name);
     std::fs::write(&file, text).expect("a configuration file");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_rushquay"));
+    let mut command = Command::new(env!("CARGO_BIN_EXE_aniseyoke"));
     command.env_clear().env("PROXY_CONFIG", &file).stderr(Stdio::piped());
     (command.spawn().expect("started"), file)
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,10 +1,10 @@
 //! The six rules as properties over generated event sequences, with a fixed seed.
 
 mod common;
+use aniseyoke::api::*;
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use ravenlug::api::*;
 use std::collections::BTreeMap;
 
 #[derive(Clone, Debug)]
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,12 +1,12 @@
 //! The codec line by line, and a whole conversation with the adapter's binary.
 
-use ravenlug::api::*;
-use ravenlug::wire::{self, Line};
+use aniseyoke::api::*;
+use aniseyoke::wire::{self, Line};
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
 fn converse(input: impl AsRef<[u8]>) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ravenlug-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_aniseyoke-benchlink"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
