--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,5 @@
 //! The real proxy: starts it as the environment says, rereads its file on SIGHUP, and ends it on SIGTERM or SIGINT.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod net;
 
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,39 +1,85 @@
-//! Carries the operators' calls out, each before its answer.
+//! Carries the operators' calls out, each before its answer, and what they order at another process of this proxy.
 
 use super::admin::{Call, Verdict};
 use super::drain::Drain;
 use super::engine::Engine;
+use super::state::{Orders, Store};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 /// What the calls act on.
 pub struct Control {
-    pub engine: Rc<Engine>,
-    pub drain: Rc<Drain>,
+    engine: Rc<Engine>,
+    drain: Rc<Drain>,
+    store: Store,
+    /// The orders carried out.
+    done: RefCell<Orders>,
+    /// Whether clients are let in.
+    pub serving: Cell<bool>,
 }
 
 impl Control {
+    /// Begins with the orders that another process left.
+    pub fn new(engine: Rc<Engine>, drain: Rc<Drain>, store: Store) -> Rc<Self> {
+        let (done, serving) = (RefCell::default(), Cell::new(false));
+        let control = Control { engine, drain, store, done, serving };
+        control.look();
+        Rc::new(control)
+    }
+
+    /// Carries out what was ordered at another process.
+    pub fn look(&self) {
+        if self.store.look() {
+            let orders = self.store.orders();
+            super::log(format_args!("operators' orders: drain {}, out {:?}", orders.drain, orders.bans));
+            self.carry_out();
+        }
+    }
+
     pub async fn act(&self, call: Call) -> Verdict {
         match call {
             Call::Ready if self.drain.stopping() => Verdict::Unready("the process is stopping"),
-            Call::Ready if !self.engine.can_serve() => Verdict::Unready("no cache node takes work yet"),
+            Call::Ready if !(self.serving.get() && self.engine.can_serve()) => {
+                Verdict::Unready("no cache node takes work yet")
+            }
             Call::Ready => Verdict::Yes,
-            Call::Exclude(id) => self.ban(&id, true),
-            Call::Include(id) => self.ban(&id, false),
-            Call::Evacuate => self.drain(true),
-            Call::Rejoin => self.drain(false),
+            Call::Exclude(id) => self.ban(id, true).await,
+            Call::Include(id) => self.ban(id, false).await,
+            Call::Evacuate => self.order(|orders| orders.drain = true).await,
+            Call::Rejoin => self.order(|orders| orders.drain = false).await,
         }
     }
 
-    fn ban(&self, id: &str, out: bool) -> Verdict {
-        if !self.engine.listed(id) {
+    async fn ban(&self, id: String, out: bool) -> Verdict {
+        // What another process took out may have left the list before this one began.
+        self.look();
+        if !self.engine.listed(&id) {
             return Verdict::Unknown("no such cache node was ever listed");
         }
-        self.engine.ban(id, out);
-        Verdict::Yes
+        let change = |orders: &mut Orders| {
+            if out {
+                orders.bans.insert(id);
+            } else {
+                orders.bans.remove(&id);
+            }
+        };
+        self.order(change).await
     }
 
-    fn drain(&self, on: bool) -> Verdict {
-        self.drain.call(on);
+    async fn order(&self, change: impl FnOnce(&mut Orders)) -> Verdict {
+        if let Err(e) = self.store.change(change).await {
+            super::log(format_args!("operators' order not kept: {e}"));
+            return Verdict::Unready("the order could not be kept");
+        }
+        self.carry_out();
         Verdict::Yes
     }
+
+    fn carry_out(&self) {
+        let orders = self.store.orders();
+        let done = self.done.replace(orders.clone());
+        orders.bans.difference(&done.bans).for_each(|id| self.engine.ban(id, true));
+        done.bans.difference(&orders.bans).for_each(|id| self.engine.ban(id, false));
+        self.drain.call(orders.drain);
+    }
 }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -8,7 +8,7 @@
 use hyper::body::Bytes;
 use hyper::Response;
 use rustc_hash::{FxHashMap, FxHashSet};
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -110,6 +110,8 @@
     upstreams: Rc<Upstreams>,
     watch: mpsc::UnboundedSender<()>,
     listed: RefCell<Listed>,
+    /// Discovery has told a list since the start.
+    told: Cell<bool>,
     myself: Weak<Engine>,
 }
 
@@ -128,6 +130,7 @@
             upstreams,
             watch,
             listed: RefCell::default(),
+            told: Cell::new(false),
             myself: myself.clone(),
         });
         engine.list(ListKind::Cached, config.known.as_ref().map_or(&[], |known| &known.servers));
@@ -143,9 +146,15 @@
         self.upstreams.any_ready()
     }
 
+    /// Whether discovery itself has told of the list, which may have been old before.
+    pub fn told(&self) -> bool {
+        self.told.get()
+    }
+
     /// News of the list.
     pub fn list(&self, kind: ListKind, members: &[Member]) {
         let entries: Vec<(Entry, Option<SocketAddr>)> = members.iter().map(|m| self.names.entry(m)).collect();
+        self.told.set(self.told.get() || matches!(kind, ListKind::Full | ListKind::Delta));
         if kind != ListKind::Failed {
             self.upstreams.update(kind != ListKind::Delta, &entries);
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,8 +7,13 @@
 pub mod drain;
 pub mod engine;
 mod gate;
+mod handover;
+mod peers;
+#[cfg(test)]
+mod scratch;
 pub mod server;
 mod socket;
+mod state;
 mod upstream;
 
 use http_body_util::Full;
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -6,9 +6,11 @@
 use super::drain::{self, Drain};
 use super::engine::{Answer, Asked, Engine, Ticket};
 use super::gate::{Gate, Seen};
+use super::peers::{self, Peers};
 use super::socket::{Descriptors, Permit, Socket};
+use super::state::Store;
 use super::upstream::{Job, Upstreams, TIME_LEFT};
-use super::{admin, Body, BODY_MOST, BUFFER_MOST};
+use super::{admin, handover, Body, BODY_MOST, BUFFER_MOST};
 use aniseyoke::api::{self, Effect, Nanos};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body as _, Bytes, Incoming};
@@ -62,8 +64,14 @@
 /// A connection that has been without a request for so long is closed.
 const IDLE_MOST: Duration = Duration::from_secs(10);
 const LOOK_EVERY: Duration = Duration::from_millis(100);
-/// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own, discovery's.
+/// A process that takes over lets clients in once it has the list from discovery, or without it after this time.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
+const TOLD_AGAIN: Duration = Duration::from_millis(5);
+/// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own, the files of
+/// the operators' state, discovery's.
 const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
+/// A process that stops claims so many descriptors beyond those that it uses.
+const CLAIM_MORE: usize = 4;
 /// Memory that is no connection's.
 const OWN_MEMORY: usize = 8 << 20;
 /// New connections come for some time after SIGTERM; accepting goes on for at least the first span, until none
@@ -135,14 +143,31 @@
     }
 }
 
+/// What a lone process may take.
+struct Limits {
+    sockets: usize,
+    /// Descriptors that each process needs beside those of its connections.
+    own: usize,
+    /// So many connections have room in memory.
+    room: usize,
+}
+
+impl Limits {
+    /// The connections that this process may hold beside others.
+    fn part(&self, others: &[Option<usize>]) -> usize {
+        let memory = self.room / (others.len() + 1);
+        peers::part(self.sockets, others).saturating_sub(self.own).min(memory).max(8)
+    }
+}
+
 struct Server {
     engine: Rc<Engine>,
     upstreams: Rc<Upstreams>,
     descriptors: Rc<Descriptors>,
-    /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
-    clients_most: usize,
     settings: api::Settings,
     drain: Rc<Drain>,
+    /// Processes of this proxy that live beside this one.
+    others: Cell<usize>,
     clients: RefCell<Vec<Rc<Client>>>,
     /// The ids of all requests that lack their answer. Their hash is keyed, since clients choose them.
     ids: RefCell<HashSet<HeaderValue>>,
@@ -164,21 +189,32 @@
 /// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
 pub async fn run(config: Config, stop: impl Future<Output = ()>, mut hangup: Signal) -> Result<(), String> {
     let listen = config.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
+    let inherited = handover::inherited(listen)?;
+    let handed = inherited.is_some();
+    let listener = match inherited {
+        Some(inherited) => TcpListener::from_std(inherited),
+        None => TcpListener::bind(listen).await,
+    };
+    let listener = listener.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
-    super::log(format_args!("listening on {bound}"));
+    super::log(format_args!("{} on {bound}", if handed { "handover: listening" } else { "listening" }));
+    let dir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(std::path::PathBuf::from);
+    let living = Peers::join(dir.clone());
     // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
     // room for, even if all of them do.
     let (door, door_memory) = config.mgmt.map_or((0, 0), |_| (admin::DESCRIPTORS, admin::MEMORY));
     let own = OWN_DESCRIPTORS + door;
     let room = config.memory.saturating_sub(OWN_MEMORY + door_memory) / (BODY_MOST + 2 * BUFFER_MOST);
-    let descriptors = Descriptors::new(config.sockets.saturating_sub(own).min(room).max(8));
-    let clients_most = descriptors.free() / 2;
+    let limits = Limits { sockets: config.sockets, own, room };
+    let descriptors = Descriptors::new(limits.part(&living.others()));
     let settings = config.settings.clone();
     let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
     let (watch, asked) = mpsc::unbounded_channel();
     let (mgmt, drain) = (config.mgmt, Rc::<Drain>::default());
-    let (addr, version) = (config.discovery, config.known.as_ref().map(|known| known.version));
+    // Danger: who asks for what is newer than an old list hears nothing while nothing is, and can't tell it from a
+    // discovery that is down. A process that takes over asks for the whole list.
+    let version = config.known.as_ref().filter(|_| !handed).map(|known| known.version);
+    let addr = config.discovery;
     let discovery = Discovery::new(addr, version, settings.must_ask_in);
     let engine = Engine::new(config, upstreams.clone(), watch);
     let (moves, moved) = mpsc::unbounded_channel();
@@ -203,9 +239,9 @@
         engine: engine.clone(),
         upstreams,
         descriptors,
-        clients_most,
         settings,
         drain: drain.clone(),
+        others: Cell::new(0),
         clients: RefCell::default(),
         ids: RefCell::default(),
         left: Notify::new(),
@@ -218,24 +254,74 @@
             watched.clients.borrow().iter().for_each(|c| c.look(now, &watched.drain));
         }
     });
+    if mgmt.is_some() && dir.is_none() {
+        super::log("TMPDIR is not set: what operators order ends with this process");
+    }
+    let control = Control::new(engine.clone(), drain, Store::open(dir));
     if let Some(mgmt) = mgmt {
-        let control = Rc::new(Control { engine, drain });
+        let control = control.clone();
         let act = move |call| {
             let control = control.clone();
             async move { control.act(call).await }
         };
         admin::open(mgmt, act).await?;
     }
+    let (looking, sharing) = (control.clone(), server.clone());
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(LOOK_EVERY).await;
+            looking.look();
+            sharing.share(&limits, &living);
+        }
+    });
     tokio::select! {
         biased;
         () = stop => {}
-        never = server.accept_all(&listener) => match never {},
+        never = async {
+            if handed {
+                // Danger: what is taken from the queue before it can be served is lost to the one that can.
+                server.until_told().await;
+            }
+            control.serving.set(true);
+            server.accept_all(&listener).await
+        } => match never {},
     }
-    server.stop(listener).await;
+    server.stop(listener, handed).await;
     Ok(())
 }
 
 impl Server {
+    /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
+    fn clients_most(&self) -> usize {
+        self.descriptors.most() / 2
+    }
+
+    /// Takes no more descriptors than the other processes of this proxy leave; one that stops takes ever fewer.
+    fn share(&self, limits: &Limits, living: &Peers) {
+        let others = living.others();
+        let mut most = limits.part(&others);
+        if self.drain.stopping() && !others.is_empty() {
+            most = most.min(self.descriptors.used() + CLAIM_MORE);
+            living.claim(most + limits.own);
+        }
+        if most != self.descriptors.most() {
+            self.descriptors.limit(most);
+        }
+        if self.others.replace(others.len()) != others.len() {
+            super::log(format_args!("{} other processes live: {most} connections at most", others.len()));
+        }
+        while self.descriptors.used() > most && self.upstreams.yield_idle() {}
+    }
+
+    /// Waits until this process can serve as well as the one that it takes over from.
+    async fn until_told(&self) {
+        let start = Instant::now();
+        while !(self.engine.can_serve() && (self.engine.told() || start.elapsed() > TOLD_WITHIN)) {
+            sleep(TOLD_AGAIN).await;
+        }
+        super::log("handover: clients are let in");
+    }
+
     async fn accept_all(self: &Rc<Self>, listener: &TcpListener) -> Infallible {
         loop {
             let accepted = listener.accept().await;
@@ -256,7 +342,7 @@
             }
         };
         let permit = loop {
-            if self.clients.borrow().len() >= self.clients_most {
+            if self.clients.borrow().len() >= self.clients_most() {
                 if !self.one_leaves() {
                     self.yield_client(false);
                 }
@@ -273,7 +359,7 @@
         // Danger: clients too have only so many connections; those that they ask once on and keep would leave
         // them none to ask on.
         let staying = self.clients.borrow().iter().filter(|c| !c.closing.get()).count();
-        if staying > self.clients_most / 2 {
+        if staying > self.clients_most() / 2 {
             self.yield_client(true);
         }
     }
@@ -287,7 +373,7 @@
         let mut idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !c.closing.get()).collect();
         let now = Instant::now();
         let asks = |c: &Client| c.seen.heads.get() > 0 && c.seen.head_since.get().is_none();
-        let flood = idle.iter().filter(|c| !asks(c)).count() > self.clients_most / SILENT_PART;
+        let flood = idle.iter().filter(|c| !asks(c)).count() > self.clients_most() / SILENT_PART;
         let about_to_ask = |c: &Client| !asks(c) && !flood && now - c.since.get() < ASK_SOON;
         if spare && flood {
             return;
@@ -355,14 +441,17 @@
     }
 
     /// Answers what comes and asks clients away while idle connections end, and waits for the rest.
-    async fn stop(self: &Rc<Self>, listener: TcpListener) {
+    /// Of a socket that was handed over nothing more is taken: what waits there is for the successor.
+    async fn stop(self: &Rc<Self>, listener: TcpListener, handed: bool) {
         super::log("draining");
         self.drain.stop();
         let start = Instant::now();
         let mut until = start + ACCEPT_FOR;
-        while let Ok(accepted) = timeout_at(until.min(start + ACCEPT_MOST), listener.accept()).await {
-            self.accepted(accepted).await;
-            until = until.max(Instant::now() + QUIET_FOR);
+        if !handed {
+            while let Ok(accepted) = timeout_at(until.min(start + ACCEPT_MOST), listener.accept()).await {
+                self.accepted(accepted).await;
+                until = until.max(Instant::now() + QUIET_FOR);
+            }
         }
         drop(listener);
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -14,23 +14,36 @@
 
 /// The descriptors that sockets may still take.
 pub struct Descriptors {
-    free: Cell<usize>,
+    used: Cell<usize>,
+    most: Cell<usize>,
     freed: Notify,
 }
 
 impl Descriptors {
-    pub fn new(free: usize) -> Rc<Self> {
-        Rc::new(Descriptors { free: Cell::new(free), freed: Notify::new() })
+    pub fn new(most: usize) -> Rc<Self> {
+        Rc::new(Descriptors { used: Cell::new(0), most: Cell::new(most), freed: Notify::new() })
     }
 
-    pub fn free(&self) -> usize {
-        self.free.get()
+    pub fn most(&self) -> usize {
+        self.most.get()
+    }
+
+    pub fn used(&self) -> usize {
+        self.used.get()
+    }
+
+    /// From here on so many may be taken; what is held beyond that stays until it is given back.
+    pub fn limit(&self, most: usize) {
+        self.most.set(most);
+        self.freed.notify_one();
     }
 
     /// Takes one, if any is free.
     pub fn take(self: &Rc<Self>) -> Option<Permit> {
-        let left = self.free.get().checked_sub(1)?;
-        self.free.set(left);
+        if self.used.get() >= self.most.get() {
+            return None;
+        }
+        self.used.set(self.used.get() + 1);
         Some(Permit(self.clone()))
     }
 
@@ -45,7 +58,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.0.free.set(self.0.free.get() + 1);
+        self.0.used.set(self.0.used.get().saturating_sub(1));
         self.0.freed.notify_one();
     }
 }
