Stream large bodies and answers both ways under one budget of bytes

Cause: answers over 64 KiB were taken for spoilt, heads were given 1.5 s. Ruled out: descriptors (114 of 1024) and CPU (0.1 of a core) were not short.

--- a/src/api.rs
+++ b/src/api.rs
@@ -260,6 +260,8 @@
     Expired(RequestId),
     /// A streamed answer began.
     First(RequestId),
+    /// The last byte has come of a request that arrived before it: its time runs from now.
+    Taken(RequestId),
     /// Operators took a server out, whatever the list says of it until they give it back.
     Excluded(ServerId),
     /// Operators gave it back.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -312,6 +312,12 @@
                     self.ended(&open, 0.0);
                 }
             }
+            Event::Taken(id) => {
+                if let Some(open) = self.open.get_mut(&id) {
+                    let shift = now.saturating_sub(std::mem::replace(&mut open.arrived, now));
+                    (open.aim_at, open.deadline) = (open.aim_at + shift, open.deadline + shift);
+                }
+            }
             Event::Excluded(server) => self.ban(now, server, true, actions),
             Event::Included(server) => self.ban(now, server, false, actions),
             Event::First(id) => {
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -2,10 +2,10 @@
 //! the module's actions come out. Each request gets one final answer.
 
 use super::config::{Config, Member, Names};
+use super::relay::Outgoing;
 use super::upstream::{Ended, Job, Tether, Upstreams};
 use aniseyoke::api::*;
 use aniseyoke::Balancer;
-use hyper::body::Bytes;
 use hyper::Response;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
@@ -46,7 +46,7 @@
 
 /// The final answer of a request.
 pub enum Answer {
-    Served(Response<Bytes>),
+    Served(Response<Outgoing>),
     /// Not done, a repeat is harmless; with the advised wait.
     Refused(Duration),
     Failed,
@@ -62,6 +62,7 @@
 
 struct Attempt {
     server: ServerId,
+    /// When it was sent, or the last byte of its request came.
     sent: Nanos,
     /// While it is out.
     out: Option<(Rc<Tether>, AbortHandle)>,
@@ -70,7 +71,10 @@
 struct Pending {
     id: RequestId,
     job: Rc<Job>,
-    deadline: Nanos,
+    /// What the client waits from its last byte on.
+    patience: Nanos,
+    /// None while that byte has not come.
+    deadline: Option<Nanos>,
     /// Until the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
     attempts: Vec<Attempt>,
@@ -189,13 +193,34 @@
         request.id = id;
         let margin = margin(patience);
         request.remaining = patience - margin;
-        let deadline = now.saturating_add(request.remaining);
-        let pending = Pending { id, job: Rc::new(job), deadline, answer: Some(answer), attempts: Vec::new() };
+        let (patience_left, job) = (request.remaining, Rc::new(job));
+        if let Some(upload) = job.body.upload() {
+            let myself = self.myself.clone();
+            upload.on_taken(move || myself.upgrade().iter().for_each(|engine| engine.taken(id)));
+        }
+        let pending = Pending {
+            id,
+            job: job.clone(),
+            patience: patience_left,
+            deadline: job.body.upload().is_none().then(|| now.saturating_add(patience_left)),
+            answer: Some(answer),
+            attempts: Vec::new(),
+        };
         core.pending.insert(id, pending);
         self.feed(core, Event::Arrival(request));
         // With half of the margin left a request that the module has left unanswered is failed.
         let guard = Duration::from_nanos(patience - margin / 2);
-        Ticket { id, answered: Some(answered), guard, engine: self.myself.clone() }
+        Ticket { id, answered: Some(answered), guard, job: Rc::downgrade(&job), engine: self.myself.clone() }
+    }
+
+    /// The last byte of a request has come that arrived before it.
+    fn taken(&self, id: RequestId) {
+        let core = &mut *self.core.borrow_mut();
+        let now = self.clock.now();
+        let Some(pending) = core.pending.get_mut(&id) else { return };
+        pending.deadline = Some(now.saturating_add(pending.patience));
+        pending.attempts.iter_mut().filter(|a| a.out.is_some()).for_each(|a| a.sent = now);
+        self.feed(core, Event::Taken(id));
     }
 
     /// The client has gone, or has been told that it is too late: nothing more is done for the request.
@@ -279,7 +304,7 @@
         let now = self.clock.now();
         let pending = core.pending.get_mut(&id)?;
         let number = pending.attempts.len();
-        let left = pending.deadline.saturating_sub(now);
+        let left = pending.deadline.map_or(pending.patience, |deadline| deadline.saturating_sub(now));
         if pending.answer.is_none() || left == 0 {
             pending.attempts.push(Attempt { server, sent: now, out: None });
             return Some(self.outcome(pending, number, Status::Moot, None));
@@ -352,6 +377,7 @@
     id: RequestId,
     answered: Option<oneshot::Receiver<Answer>>,
     guard: Duration,
+    job: Weak<Job>,
     engine: Weak<Engine>,
 }
 
@@ -359,14 +385,22 @@
     /// Waits for the final answer, at most until just before the client stops waiting.
     pub async fn answer(&mut self) -> Answer {
         let Some(answered) = self.answered.as_mut() else { return Answer::Overdue };
-        let got = tokio::time::timeout(self.guard, answered).await;
+        let late = async {
+            Job::taken(self.job.clone()).await;
+            tokio::time::sleep(self.guard).await;
+        };
+        let got = tokio::select! {
+            biased;
+            got = answered => Some(got),
+            () = late => None,
+        };
         match got {
-            Ok(Ok(answer)) => {
+            Some(Ok(answer)) => {
                 self.answered = None;
                 answer
             }
-            Ok(Err(_)) => Answer::Failed,
-            Err(_) => {
+            Some(Err(_)) => Answer::Failed,
+            None => {
                 super::log("a request was left unanswered until its deadline");
                 Answer::Overdue
             }
@@ -400,7 +434,8 @@
     async fn a_request_that_the_module_leaves_unanswered_is_failed() {
         let (_held, answered) = oneshot::channel();
         let guard = Duration::from_millis(1);
-        let mut ticket = Ticket { id: 1, answered: Some(answered), guard, engine: Weak::new() };
+        let mut ticket =
+            Ticket { id: 1, answered: Some(answered), guard, job: Weak::new(), engine: Weak::new() };
         assert!(matches!(ticket.answer().await, Answer::Overdue));
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The sockets' side of the proxy: it translates between the network and the decision module.
 
 pub mod admin;
+mod budget;
 pub mod config;
 pub mod control;
 pub mod discovery;
@@ -9,11 +10,13 @@
 mod gate;
 mod handover;
 mod peers;
+mod relay;
 #[cfg(test)]
 mod scratch;
 pub mod server;
 mod socket;
 mod state;
+mod upload;
 mod upstream;
 
 use http_body_util::Full;
@@ -23,8 +26,13 @@
 use std::sync::OnceLock;
 use std::time::Instant;
 
-/// Bodies hold at most this.
+/// Bodies and answers up to this length are held whole; beyond it they are passed on as they come.
 const BODY_MOST: usize = 64 << 10;
+/// Nothing that is passed on is longer than this.
+const LARGEST: u64 = 40 << 20;
+/// What the kernel holds of a connection that carries something large is about twice this, in bytes. Danger: with a
+/// buffer of its own measure it takes megabytes, and hides for long that the other side takes nothing.
+const KERNEL_BUFFER: usize = 128 << 10;
 /// What is read ahead of a connection, heads among it, holds at most this.
 const BUFFER_MOST: usize = 16 << 10;
 /// A body that is held whole.
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -1,5 +1,6 @@
 //! The listener, clients' connections and requests, their answers, and the drain.
 
+use super::budget::Budget;
 use super::config::Config;
 use super::control::Control;
 use super::discovery::{self, Discovery};
@@ -7,13 +8,14 @@
 use super::engine::{Answer, Asked, Engine, Ticket};
 use super::gate::{Gate, Seen};
 use super::peers::{self, Peers};
+use super::relay::Outgoing;
 use super::socket::{Descriptors, Permit, Socket};
 use super::state::Store;
+use super::upload::{self, Fault};
 use super::upstream::{Job, Upstreams, TIME_LEFT};
-use super::{admin, handover, Body, BODY_MOST, BUFFER_MOST};
+use super::{admin, handover, BODY_MOST, BUFFER_MOST};
 use aniseyoke::api::{self, Effect, Nanos};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body as _, Bytes, Incoming};
+use hyper::body::{Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -49,18 +51,21 @@
 ];
 /// An id is at most this long.
 const ID_MOST: usize = 128;
-/// A connection that has asked nothing for so long since it came, whatever part of a head it sent, is closed.
-const ASK_WITHIN: Duration = Duration::from_secs(2);
+/// A connection that has asked nothing for so long since it came, whatever part of a head it sent, is closed. An
+/// honest client takes up to 2 s for a head, and a silent one is owed its close within 3.
+const ASK_WITHIN: Duration = Duration::from_millis(2700);
 /// Within this time a new connection is expected to ask.
 const ASK_SOON: Duration = Duration::from_millis(500);
 /// More than this part of the clients' connections that ask nothing are a flood.
 const SILENT_PART: usize = 4;
 /// A connection that is to make room does so within this time, or another is asked to.
 const YIELD_WITHIN: Duration = Duration::from_millis(2);
-/// A head that has begun on a connection used before, or a body, comes whole within this time.
-const COME_WITHIN: Duration = Duration::from_millis(1500);
+/// A head that has begun on a connection used before comes whole within this time.
+const COME_WITHIN: Duration = Duration::from_millis(2700);
 /// The kernel takes the rest of an answer within this time.
 const TAKE_WITHIN: Duration = Duration::from_secs(2);
+/// A client takes more of a large answer within this time.
+const TAKE_MORE_WITHIN: Duration = Duration::from_secs(10);
 /// A connection that has been without a request for so long is closed.
 const IDLE_MOST: Duration = Duration::from_secs(10);
 const LOOK_EVERY: Duration = Duration::from_millis(100);
@@ -121,6 +126,10 @@
     /// good.
     fn look(&self, now: Instant, drain: &Drain) {
         if self.busy.get() {
+            if self.socket.stuck(TAKE_MORE_WITHIN) {
+                self.dropped.set(true);
+                self.end();
+            }
             return;
         }
         let over = |from: Instant, most: Duration| now.saturating_duration_since(from) > most;
@@ -148,15 +157,21 @@
     sockets: usize,
     /// Descriptors that each process needs beside those of its connections.
     own: usize,
-    /// So many connections have room in memory.
-    room: usize,
+    /// Memory for connections and for what they carry, in bytes.
+    memory: usize,
 }
 
 impl Limits {
     /// The connections that this process may hold beside others.
     fn part(&self, others: &[Option<usize>]) -> usize {
-        let memory = self.room / (others.len() + 1);
-        peers::part(self.sockets, others).saturating_sub(self.own).min(memory).max(8)
+        // Danger: each connection may come to hold what is read ahead of it and what is still to be written.
+        let room = self.memory / (others.len() + 1) / 4 * 3 / (2 * BUFFER_MOST);
+        peers::part(self.sockets, others).saturating_sub(self.own).min(room).max(8)
+    }
+
+    /// The bytes of bodies that this process may hold whole beside others.
+    fn held(&self, others: &[Option<usize>]) -> usize {
+        (self.memory / (others.len() + 1) / 4).max(2 * BODY_MOST)
     }
 }
 
@@ -164,6 +179,7 @@
     engine: Rc<Engine>,
     upstreams: Rc<Upstreams>,
     descriptors: Rc<Descriptors>,
+    budget: Rc<Budget>,
     settings: api::Settings,
     drain: Rc<Drain>,
     /// Processes of this proxy that live beside this one.
@@ -175,17 +191,27 @@
 }
 
 /// A request's id, taken while its answer is due.
-struct OpenId<'a> {
-    server: &'a Server,
+struct OpenId {
+    server: Rc<Server>,
     id: HeaderValue,
 }
 
-impl Drop for OpenId<'_> {
+impl Drop for OpenId {
     fn drop(&mut self) {
         self.server.ids.borrow_mut().remove(&self.id);
     }
 }
 
+/// A client's connection that has a request open.
+struct Busy(Rc<Client>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(false);
+        self.0.since.set(Instant::now());
+    }
+}
+
 /// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
 pub async fn run(config: Config, stop: impl Future<Output = ()>, mut hangup: Signal) -> Result<(), String> {
     let listen = config.listen;
@@ -200,15 +226,16 @@
     super::log(format_args!("{} on {bound}", if handed { "handover: listening" } else { "listening" }));
     let dir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(std::path::PathBuf::from);
     let living = Peers::join(dir.clone());
-    // Danger: each connection may come to hold a body and what is read ahead of it. So many are taken as there is
-    // room for, even if all of them do.
     let (door, door_memory) = config.mgmt.map_or((0, 0), |_| (admin::DESCRIPTORS, admin::MEMORY));
     let own = OWN_DESCRIPTORS + door;
-    let room = config.memory.saturating_sub(OWN_MEMORY + door_memory) / (BODY_MOST + 2 * BUFFER_MOST);
-    let limits = Limits { sockets: config.sockets, own, room };
-    let descriptors = Descriptors::new(limits.part(&living.others()));
+    let memory = config.memory.saturating_sub(OWN_MEMORY + door_memory);
+    let limits = Limits { sockets: config.sockets, own, memory };
+    let others = living.others();
+    let descriptors = Descriptors::new(limits.part(&others));
+    let budget = Budget::new(limits.held(&others));
     let settings = config.settings.clone();
-    let upstreams = Upstreams::new(descriptors.clone(), config.connect_timeout, settings.conn_idle);
+    let (connect_timeout, conn_idle) = (config.connect_timeout, settings.conn_idle);
+    let upstreams = Upstreams::new(descriptors.clone(), budget.clone(), connect_timeout, conn_idle);
     let (watch, asked) = mpsc::unbounded_channel();
     let (mgmt, drain) = (config.mgmt, Rc::<Drain>::default());
     // Danger: who asks for what is newer than an old list hears nothing while nothing is, and can't tell it from a
@@ -239,6 +266,7 @@
         engine: engine.clone(),
         upstreams,
         descriptors,
+        budget,
         settings,
         drain: drain.clone(),
         others: Cell::new(0),
@@ -304,6 +332,7 @@
             most = most.min(self.descriptors.used() + CLAIM_MORE);
             living.claim(most + limits.own);
         }
+        self.budget.limit(limits.held(&others));
         if most != self.descriptors.most() {
             self.descriptors.limit(most);
         }
@@ -400,6 +429,7 @@
                 client.busy.set(true);
                 let fault = client.seen.fault.take();
                 let (server, client) = (&self, &client);
+                let busy = Busy(client.clone());
                 async move {
                     let mut response = match fault {
                         Some(why) => bad(StatusCode::BAD_REQUEST, why),
@@ -408,8 +438,10 @@
                     if server.drain.on() || client.closing.get() || client.seen.last.get() {
                         closing(&mut response);
                     }
-                    client.busy.set(false);
-                    client.since.set(Instant::now());
+                    if response.body().relayed() {
+                        client.socket.stream();
+                        response.body_mut().keep(busy);
+                    }
                     Ok::<_, Infallible>(response)
                 }
             });
@@ -428,7 +460,7 @@
                     _ = connection.as_mut() => break,
                     () = client.close.notified() => {
                         // Danger: hyper waits without end for the rest of a head. Nothing is owed for one.
-                        if !client.busy.get() && (client.dropped.get() || !client.socket.stalled()) {
+                        if client.dropped.get() || !client.busy.get() && !client.socket.stalled() {
                             break;
                         }
                         connection.as_mut().graceful_shutdown();
@@ -467,7 +499,7 @@
         }
     }
 
-    async fn respond(&self, request: Request<Incoming>, socket: &Rc<Socket>) -> Response<Body> {
+    async fn respond(self: &Rc<Self>, request: Request<Incoming>, socket: &Rc<Socket>) -> Response<Outgoing> {
         if request.uri().path() == "/_health" {
             let ready = !self.drain.on() && self.engine.can_serve();
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
@@ -478,7 +510,7 @@
             Err((status, why)) => {
                 let mut response = bad(status, why);
                 if status == StatusCode::METHOD_NOT_ALLOWED {
-                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, PUT"));
+                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, HEAD, PUT"));
                 }
                 return response;
             }
@@ -489,14 +521,19 @@
         if !self.ids.borrow_mut().insert(id.clone()) {
             return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
         }
-        let _open = OpenId { server: self, id };
+        let open = OpenId { server: self.clone(), id };
+        let bodiless = asked.job.method == Method::HEAD;
         let mut ticket: Ticket = self.engine.arrive(asked);
-        tokio::select! {
+        let mut response = tokio::select! {
             biased;
-            answer = ticket.answer() => respond_with(answer),
+            answer = ticket.answer() => respond_with(answer, bodiless),
             // Nobody is left to read this.
             () = socket.hung_up(may_ask) => plain(StatusCode::BAD_GATEWAY, "the client has gone"),
+        };
+        if response.body().relayed() {
+            response.body_mut().keep(open);
         }
+        response
     }
 
     /// Reads a request into the module's terms, or says what is wrong with it.
@@ -507,9 +544,9 @@
         let class = self.engine.names().classes.iter().position(|c| c == name);
         let class = class.ok_or((StatusCode::NOT_FOUND, "no such class"))?;
         let write = match head.method {
-            Method::GET => false,
+            Method::GET | Method::HEAD => false,
             Method::PUT => true,
-            _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "only GET and PUT")),
+            _ => return Err((StatusCode::METHOD_NOT_ALLOWED, "only GET, HEAD and PUT")),
         };
         let settings = &self.settings.classes[class];
         let only = |name: &HeaderName, why| match head.headers.get_all(name).iter().count() {
@@ -532,17 +569,11 @@
         if write && settings.effect == Effect::Keyed && key_of_repeats.is_none_or(|k| k.is_empty()) {
             return Err((StatusCode::BAD_REQUEST, "no Idempotency-Key"));
         }
-        let too_large = (StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB");
-        if body.size_hint().lower() > BODY_MOST as u64 {
-            return Err(too_large);
-        }
-        // Danger: a client that stalls in the midst of its body would keep its connection, which counts as busy.
-        let within = Duration::from_nanos(patience).min(COME_WITHIN);
-        let read = timeout(within, Limited::new(body, BODY_MOST).collect()).await;
-        let read = read.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"))?;
-        let body = read.map(|b| b.to_bytes()).map_err(|e| match e.is::<LengthLimitError>() {
-            true => too_large,
-            false => (StatusCode::BAD_REQUEST, "the body is broken"),
+        let body = upload::read(body, write, &self.budget).await.map_err(|fault| match fault {
+            Fault::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+            Fault::Stalled => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+            Fault::Broken => (StatusCode::BAD_REQUEST, "the body is broken"),
+            Fault::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "no room for the body"),
         })?;
         let tenant = head.headers.get(ACCOUNT).and_then(|a| a.to_str().ok());
         let tenant = tenant.and_then(|a| self.engine.names().tenants.iter().position(|t| t == a));
@@ -598,15 +629,18 @@
     }
 }
 
-fn respond_with(answer: Answer) -> Response<Body> {
+/// `bodiless`: the answer to a HEAD, which tells the length of a body that does not come.
+fn respond_with(answer: Answer, bodiless: bool) -> Response<Outgoing> {
     match answer {
         Answer::Served(response) => {
             let (mut head, body) = response.into_parts();
             strip(&mut head.headers);
             // Danger: hyper believes a length that stands here; the body held has one of its own.
-            head.headers.remove(header::CONTENT_LENGTH);
+            if !bodiless {
+                head.headers.remove(header::CONTENT_LENGTH);
+            }
             head.version = Version::HTTP_11;
-            Response::from_parts(head, Body::new(body))
+            Response::from_parts(head, body)
         }
         Answer::Refused(wait) => {
             let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
@@ -624,18 +658,18 @@
 
 /// Turns away what is malformed or too large. Danger: a client that sends the like again and again on one connection
 /// costs more than one that has to connect for it; and what follows on it may be the rest of this one.
-fn bad(status: StatusCode, why: &'static str) -> Response<Body> {
+fn bad(status: StatusCode, why: &'static str) -> Response<Outgoing> {
     let mut response = plain(status, why);
     closing(&mut response);
     response
 }
 
-fn closing(response: &mut Response<Body>) {
+fn closing(response: &mut Response<Outgoing>) {
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Body> {
-    let mut response = Response::new(Body::new(Bytes::from_static(text.as_bytes())));
+fn plain(status: StatusCode, text: &'static str) -> Response<Outgoing> {
+    let mut response = Response::new(Outgoing::whole(Bytes::from_static(text.as_bytes()), None));
     *response.status_mut() = status;
     response
 }
@@ -647,7 +681,7 @@
     #[test]
     fn advice_to_wait_reaches_the_client_as_seconds() {
         for (wait, advice) in [(1500, Some("1.500")), (0, None)] {
-            let answer = respond_with(Answer::Refused(Duration::from_millis(wait)));
+            let answer = respond_with(Answer::Refused(Duration::from_millis(wait)), false);
             let told = answer.headers().get(header::RETRY_AFTER).and_then(|v| v.to_str().ok());
             assert_eq!((answer.status(), told), (StatusCode::SERVICE_UNAVAILABLE, advice));
         }
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -1,6 +1,7 @@
 //! One TCP stream under hyper: what has been written to it, whether its peer has gone, and the budget of
 //! descriptors that all streams share.
 
+use super::KERNEL_BUFFER;
 use socket2::SockRef;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
@@ -8,9 +9,11 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 /// The descriptors that sockets may still take.
 pub struct Descriptors {
@@ -72,6 +75,8 @@
     whole: Cell<bool>,
     /// The kernel took no more bytes, so hyper holds some.
     stalled: Cell<bool>,
+    /// When bytes were last written.
+    moved: Cell<Instant>,
     /// So many more bytes may come.
     room: Cell<usize>,
     _permit: Permit,
@@ -86,6 +91,7 @@
             begun: Cell::new(false),
             whole: Cell::new(false),
             stalled: Cell::new(false),
+            moved: Cell::new(Instant::now()),
             room: Cell::new(usize::MAX),
             _permit: permit,
         })
@@ -108,6 +114,19 @@
         self.stalled.get()
     }
 
+    /// Whether nothing more could be written since so long ago.
+    pub fn stuck(&self, most: Duration) -> bool {
+        self.stalled.get() && self.moved.get().elapsed() > most
+    }
+
+    /// Something large is to go over it: what comes has a limit elsewhere, and the kernel is to hold little.
+    pub fn stream(&self) {
+        self.room.set(usize::MAX);
+        let stream = SockRef::from(&self.stream);
+        // A connection whose buffers stay as they are serves as well.
+        let _ = (stream.set_send_buffer_size(KERNEL_BUFFER), stream.set_recv_buffer_size(KERNEL_BUFFER));
+    }
+
     /// Whether the kernel holds nothing that has come and was not read, not even the peer's end. Danger: the runtime
     /// learns of new bytes only when it next looks, so this asks the kernel.
     pub fn silent(&self) -> bool {
@@ -172,6 +191,7 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 sent => {
                     self.0.begun.set(true);
+                    self.0.moved.set(Instant::now());
                     return Poll::Ready(sent);
                 }
             }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,28 +1,37 @@
 //! Connections to cache nodes and the origin, and one attempt on one of them with its outcome.
 
+use super::budget::Budget;
+use super::relay::{Outgoing, Relay};
 use super::socket::{Descriptors, Io, Socket};
-use super::{Body, BODY_MOST, BUFFER_MOST};
+use super::upload::{Payload, Sending};
+use super::{BODY_MOST, BUFFER_MOST, LARGEST};
 use aniseyoke::api::{Entry, Nanos, ServerId, State, Status};
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use hyper::{Method, Request, Response, StatusCode, Uri};
+use hyper::header::{
+    HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING,
+};
+use hyper::http::response::Parts;
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 use hyper_util::rt::TokioIo;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, Instant};
 
 pub const TIME_LEFT: HeaderName = HeaderName::from_static("x-time-left");
 const UNPROCESSED: HeaderName = HeaderName::from_static("x-unprocessed");
 /// So many bytes may come in answer to a request: a body, what frames it, and interim answers ahead. Danger: hyper
 /// reads on for as long as interim answers come, and hands none of them over.
-const ANSWER_MOST: usize = 2 * BODY_MOST;
+const ANSWER_MOST: usize = 8 * BODY_MOST;
+/// A node that takes nothing more of a body for so long has hung up.
+const TAKES_WITHIN: Duration = Duration::from_secs(10);
+const LOOK_EVERY: Duration = Duration::from_secs(1);
 const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
 
 /// A client's request as it goes on to any cache node.
@@ -30,7 +39,18 @@
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
-    pub body: Bytes,
+    pub body: Payload,
+}
+
+impl Job {
+    /// Returns once the last byte of a request has come from its client, and never if it does not.
+    pub async fn taken(job: Weak<Job>) {
+        // Danger: a wait that holds the job itself would hold the body's connection as well.
+        let Some(upload) = job.upgrade().map(|job| job.body.upload().cloned()) else { return };
+        if let Some(upload) = upload {
+            upload.taken().await;
+        }
+    }
 }
 
 /// What came of an attempt.
@@ -38,7 +58,7 @@
     pub status: Status,
     pub hit: Option<bool>,
     /// The answer, where it was served.
-    pub answer: Option<Response<Bytes>>,
+    pub answer: Option<Response<Outgoing>>,
 }
 
 impl From<Status> for Ended {
@@ -71,7 +91,7 @@
 
 /// An open connection; dropping it closes it.
 struct Connection {
-    sender: SendRequest<Body>,
+    sender: SendRequest<Sending>,
     socket: Rc<Socket>,
     driver: AbortHandle,
 }
@@ -112,13 +132,19 @@
     /// Taken out by operators, listed or not.
     banned: RefCell<FxHashSet<ServerId>>,
     descriptors: Rc<Descriptors>,
+    budget: Rc<Budget>,
     connect_timeout: Duration,
     idle_most: Duration,
     epochs: Cell<u64>,
 }
 
 impl Upstreams {
-    pub fn new(descriptors: Rc<Descriptors>, connect_timeout: Duration, conn_idle: Nanos) -> Rc<Self> {
+    pub fn new(
+        descriptors: Rc<Descriptors>,
+        budget: Rc<Budget>,
+        connect_timeout: Duration,
+        conn_idle: Nanos,
+    ) -> Rc<Self> {
         // Danger: a request written to a connection that its node is just closing ends as a reset, and may
         // have run. The node counts from its own last byte, so leave it a good part of the time.
         let idle_most = match conn_idle {
@@ -126,7 +152,8 @@
             limit => Duration::from_nanos(limit / 4 * 3),
         };
         let (nodes, banned) = (RefCell::default(), RefCell::default());
-        Rc::new(Upstreams { nodes, banned, descriptors, connect_timeout, idle_most, epochs: Cell::new(0) })
+        let epochs = Cell::new(0);
+        Rc::new(Upstreams { nodes, banned, descriptors, budget, connect_timeout, idle_most, epochs })
     }
 
     /// Takes news of the list; `whole` when nodes that it does not name are gone.
@@ -198,12 +225,24 @@
         oldest.map(|n| n.idle.remove(0)).is_some()
     }
 
-    /// One attempt: at most `wait` long.
-    pub async fn attempt(&self, server: ServerId, job: &Job, wait: Duration, tether: &Tether) -> Ended {
-        let due = Instant::now() + wait;
-        match timeout_at(due, self.exchange(server, job, due, tether)).await {
-            Ok(ended) => ended,
-            Err(_) => {
+    /// One attempt: at most `wait` long from the last byte of the request on.
+    pub async fn attempt(
+        self: &Rc<Self>,
+        server: ServerId,
+        job: &Job,
+        wait: Duration,
+        tether: &Tether,
+    ) -> Ended {
+        let over = async {
+            tokio::select! {
+                () = job.body.taken() => sleep(wait).await,
+                () = stuck(tether) => {}
+            }
+        };
+        tokio::select! {
+            biased;
+            ended = self.exchange(server, job, wait, tether) => ended,
+            () = over => {
                 let written = tether.socket.borrow().as_ref().is_some_and(|s| s.whole());
                 // A request that was not written whole has not run.
                 if written { Status::Timeout } else { Status::ConnectFailed }.into()
@@ -211,8 +250,17 @@
         }
     }
 
-    async fn exchange(&self, server: ServerId, job: &Job, due: Instant, tether: &Tether) -> Ended {
+    async fn exchange(
+        self: &Rc<Self>,
+        server: ServerId,
+        job: &Job,
+        wait: Duration,
+        tether: &Tether,
+    ) -> Ended {
+        let due = Instant::now() + wait;
         loop {
+            // Danger: what an attempt has read of an upload is gone with it.
+            let Some(body) = job.body.send() else { return Status::Moot.into() };
             let Some((addr, epoch)) = self.open_to(server) else { return Status::Moot.into() };
             let (mut connection, reused) = match self.newest(server) {
                 Some(connection) => (connection, true),
@@ -234,8 +282,16 @@
             }
             connection.socket.begin(ANSWER_MOST);
             tether.socket.replace(Some(connection.socket.clone()));
-            let sent = connection.sender.send_request(request(job, addr, due)).await;
+            let upload = job.body.upload();
+            if upload.is_some() {
+                connection.socket.stream();
+            }
+            let sent = connection.sender.send_request(request(job, body, addr, due)).await;
             let Ok(response) = sent else {
+                // The client's own failure says nothing of the node.
+                if upload.is_some_and(|u| u.failed()) {
+                    return Status::Moot.into();
+                }
                 // Danger: after its last byte the request may have run, and is not for this side to repeat.
                 if connection.socket.whole() {
                     return Status::Reset.into();
@@ -245,12 +301,63 @@
                 }
                 return Status::ConnectFailed.into();
             };
-            let (ended, reusable) = read(response).await;
-            if reusable && connection.socket.whole() {
-                self.keep(server, epoch, connection);
+            return match self.read(response).await {
+                Read::Spoilt => Status::Reset.into(),
+                Read::Whole(ended) => {
+                    if connection.socket.whole() {
+                        self.keep(server, epoch, connection);
+                    }
+                    ended
+                }
+                Read::Large(head, ahead, rest) => {
+                    connection.socket.stream();
+                    let hit = hit(&head.headers);
+                    let pool = Rc::downgrade(self);
+                    let done = move || {
+                        if let Some(pool) = pool.upgrade().filter(|_| connection.socket.whole()) {
+                            pool.keep(server, epoch, connection);
+                        }
+                    };
+                    let answer = Response::from_parts(head, Relay::new(ahead, rest, done).into());
+                    Ended { status: Status::Ok, hit, answer: Some(answer) }
+                }
+            };
+        }
+    }
+
+    /// Reads a small answer to its end. Danger: passing on a body while it still comes would leave the client with
+    /// half an answer when it breaks, so only what is large, or has no room in the budget, is passed on so.
+    async fn read(&self, response: Response<Incoming>) -> Read {
+        if spoilt(&response) {
+            return Read::Spoilt;
+        }
+        let (head, mut body) = response.into_parts();
+        let told = body.size_hint();
+        let small = told.lower() <= BODY_MOST as u64;
+        let room = told.exact().map_or(BODY_MOST, |length| length.min(BODY_MOST as u64) as usize);
+        let mut held = if small { self.budget.take(room) } else { None };
+        let mut ahead = Vec::new();
+        while !body.is_end_stream() {
+            let Some(frame) = body.frame().await else { break };
+            // What can't be read may have run.
+            let Ok(frame) = frame else { return Read::Spoilt };
+            let Ok(data) = frame.into_data() else { continue };
+            ahead.extend_from_slice(&data);
+            if held.is_none() || ahead.len() > BODY_MOST {
+                return match status(&head) {
+                    Status::Ok => Read::Large(head, ahead.into(), body),
+                    // An error is not worth reading through.
+                    _ => Read::Spoilt,
+                };
             }
-            return ended;
         }
+        if let Some(held) = &mut held {
+            held.shrink(ahead.len());
+        }
+        let (status, hit) = (status(&head), hit(&head.headers));
+        let answer =
+            (status == Status::Ok).then(|| Response::from_parts(head, Outgoing::whole(ahead.into(), held)));
+        Read::Whole(Ended { status, hit, answer })
     }
 
     /// Where a node takes new work.
@@ -302,8 +409,8 @@
     }
 }
 
-fn request(job: &Job, addr: SocketAddr, due: Instant) -> Request<Body> {
-    let mut request = Request::new(Body::new(job.body.clone()));
+fn request(job: &Job, body: Sending, addr: SocketAddr, due: Instant) -> Request<Sending> {
+    let mut request = Request::new(body);
     *request.method_mut() = job.method.clone();
     *request.uri_mut() = job.uri.clone();
     let headers = request.headers_mut();
@@ -321,37 +428,50 @@
 }
 
 /// Whether an answer's head is one that no node in its right mind sends: a switch of protocols, a length that
-/// contradicts itself or is over the limit, or none, so that a broken body could not be told from a whole one.
+/// contradicts itself or is over the limit, or none though the connection is to stay open, so that its end could
+/// not be told.
 fn spoilt(response: &Response<Incoming>) -> bool {
     let headers = response.headers();
     let (told, coded) = (headers.contains_key(CONTENT_LENGTH), headers.contains_key(TRANSFER_ENCODING));
+    let ends = response.version() == Version::HTTP_10
+        || headers.get_all(CONNECTION).iter().any(|v| v.as_bytes().eq_ignore_ascii_case(b"close"));
     response.status().is_informational()
         || told && coded
-        || response.body().size_hint().lower() > BODY_MOST as u64
-        || !told && !coded && !response.body().is_end_stream()
+        || response.body().size_hint().lower() > LARGEST
+        || !told && !coded && !ends && !response.body().is_end_stream()
 }
 
-/// Reads an answer to its end; also tells whether the connection can carry another. Danger: passing on a body
-/// while it still comes would leave the client with half an answer when it breaks. What can't be read may have run.
-async fn read(response: Response<Incoming>) -> (Ended, bool) {
-    if spoilt(&response) {
-        return (Status::Reset.into(), false);
-    }
-    let (head, body) = response.into_parts();
-    let Ok(body) = Limited::new(body, BODY_MOST).collect().await else {
-        return (Status::Reset.into(), false);
-    };
-    let body = body.to_bytes();
+/// What has been read of an answer.
+enum Read {
+    /// It can't be read, or is not worth it; its connection is of no further use.
+    Spoilt,
+    Whole(Ended),
+    /// The rest of it still comes.
+    Large(Parts, Bytes, Incoming),
+}
+
+fn status(head: &Parts) -> Status {
     let unprocessed = head.headers.get(&UNPROCESSED).is_some_and(|v| v == "1");
-    let status = match head.status {
+    match head.status {
         StatusCode::OK => Status::Ok,
         StatusCode::NOT_FOUND => Status::Miss,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if unprocessed => Status::Full,
         _ => Status::Error,
-    };
-    let hit = head.headers.get(&LOOKUP).map(|v| v == "hit");
-    let answer = (status == Status::Ok).then(|| Response::from_parts(head, body));
-    (Ended { status, hit, answer }, true)
+    }
+}
+
+fn hit(headers: &HeaderMap) -> Option<bool> {
+    headers.get(&LOOKUP).map(|v| v == "hit")
+}
+
+/// Returns once a node has taken nothing of a request for long that is not written whole.
+async fn stuck(tether: &Tether) {
+    loop {
+        sleep(LOOK_EVERY).await;
+        if tether.socket.borrow().as_ref().is_some_and(|s| s.stuck(TAKES_WITHIN)) {
+            return;
+        }
+    }
 }
 
 #[cfg(test)]
@@ -363,11 +483,15 @@
     #[tokio::test(flavor = "current_thread")]
     async fn a_lack_of_descriptors_is_not_the_nodes_fault() {
         let node = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let upstreams = Upstreams::new(Descriptors::new(0), Duration::from_secs(30), 0);
+        let upstreams = Upstreams::new(Descriptors::new(0), Budget::new(0), Duration::from_secs(30), 0);
         let entry = Entry { server: 1, ..Entry::default() };
         upstreams.update(true, &[(entry, node.local_addr().ok())]);
-        let job =
-            Job { method: Method::GET, uri: Uri::default(), headers: HeaderMap::new(), body: Bytes::new() };
+        let job = Job {
+            method: Method::GET,
+            uri: Uri::default(),
+            headers: HeaderMap::new(),
+            body: Payload::empty(),
+        };
         let ended = upstreams.attempt(1, &job, Duration::from_secs(30), &Tether::default()).await;
         assert_eq!(ended.status, Status::Moot);
     }
