Pass on an answer of unknown length after 20 ms

Cause: a quarter of the attempts that ran out of time had read up to 31 KB of a chunked answer that was held for its length. Ruled out for the rest: they wait for a head, on connections written in time, most of them at one slow node.

--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -32,6 +32,8 @@
 /// A node that takes nothing more of a body for so long has hung up.
 const TAKES_WITHIN: Duration = Duration::from_secs(10);
 const LOOK_EVERY: Duration = Duration::from_secs(1);
+/// An answer of unknown length that is not whole so long after its head is passed on as it comes.
+const HOLD: Duration = Duration::from_millis(20);
 const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
 
 /// A client's request as it goes on to any cache node.
@@ -337,8 +339,18 @@
         let room = told.exact().map_or(BODY_MOST, |length| length.min(BODY_MOST as u64) as usize);
         let mut held = if small { self.budget.take(room) } else { None };
         let mut ahead = Vec::new();
+        // Danger: what has no told length may be large, and a slow one's first bytes would wait for long.
+        let unknown = told.exact().is_none() && status(&head) == Status::Ok;
+        let mut hold = std::pin::pin!(sleep(HOLD));
         while !body.is_end_stream() {
-            let Some(frame) = body.frame().await else { break };
+            let frame = tokio::select! {
+                biased;
+                frame = body.frame() => frame,
+                () = &mut hold, if unknown && !ahead.is_empty() => {
+                    return Read::Large(head, ahead.into(), body);
+                }
+            };
+            let Some(frame) = frame else { break };
             // What can't be read may have run.
             let Ok(frame) = frame else { return Read::Spoilt };
             let Ok(data) = frame.into_data() else { continue };
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -320,3 +320,18 @@
     node.reply("200 OK", "", "stored");
     assert_eq!(client.answer().body, b"stored");
 }
+
+/// Danger: an answer of unknown length may be a large one, and its client waits for the first bytes.
+#[test]
+fn an_answer_of_unknown_length_is_not_held_until_it_ends() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.write("HTTP/1.1 200 OK\r\nX-Lookup: hit\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n");
+    node.0.get_mut().write_all(&[&part(0, 4)[..], b"\r\n"].concat()).expect("written");
+    assert!(head(&mut client)[0].contains("200"));
+    node.write("0\r\n\r\n");
+    assert_eq!(drink_chunks(&mut client), Some(4));
+}
