--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -2,11 +2,9 @@
 //! the module's actions come out. Each request gets one final answer.
 
 use super::config::{Config, Member, Names};
-use super::relay::Outgoing;
-use super::upstream::{Ended, Job, Tether, Upstreams};
+use super::upstream::{Ended, Job, Reply, Tether, Upstreams};
 use aniseyoke::api::*;
 use aniseyoke::Balancer;
-use hyper::Response;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -46,7 +44,7 @@
 
 /// The final answer of a request.
 pub enum Answer {
-    Served(Response<Outgoing>),
+    Served(Reply),
     /// Not done, a repeat is harmless; with the advised wait.
     Refused(Duration),
     Failed,
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -55,12 +55,15 @@
     }
 }
 
+/// What a node has answered, on its way to whoever asked.
+pub type Reply = Response<Outgoing>;
+
 /// What came of an attempt.
 pub struct Ended {
     pub status: Status,
     pub hit: Option<bool>,
     /// The answer, where it was served.
-    pub answer: Option<Response<Outgoing>>,
+    pub answer: Option<Reply>,
 }
 
 impl From<Status> for Ended {
