--- a/src/net/gate.rs
+++ b/src/net/gate.rs
@@ -22,6 +22,8 @@
 pub struct Seen {
     /// When the first byte of a head came that is not whole yet.
     pub head_since: Cell<Option<Instant>>,
+    /// When bytes of a head last came.
+    pub moved: Cell<Option<Instant>>,
     /// Whole heads that have come.
     pub heads: Cell<u64>,
     /// Why the last of them must not be used.
@@ -97,9 +99,11 @@
             match ready!(me.io.poll_fill(cx, &mut part))? {
                 0 => me.pass = ALL,
                 n => {
+                    let now = Some(Instant::now());
                     if me.held.is_empty() {
-                        me.seen.head_since.set(Some(Instant::now()));
+                        me.seen.head_since.set(now);
                     }
+                    me.seen.moved.set(now);
                     me.held.extend_from_slice(&part[..n]);
                 }
             }
--- a/src/net/server.rs
+++ b/src/net/server.rs
@@ -56,6 +56,9 @@
 const ASK_WITHIN: Duration = Duration::from_millis(2700);
 /// Within this time a new connection is expected to ask.
 const ASK_SOON: Duration = Duration::from_millis(500);
+/// A client that uses its connection again does so within this time, mostly.
+const ASK_AGAIN: Duration = Duration::from_millis(40);
+const THIN_EVERY: Duration = Duration::from_millis(20);
 /// More than this part of the clients' connections that ask nothing are a flood.
 const SILENT_PART: usize = 4;
 /// A connection that is to make room does so within this time, or another is asked to.
@@ -116,6 +119,16 @@
         })
     }
 
+    /// Since when nothing has come on it, nor an answer gone.
+    fn quiet_since(&self) -> Instant {
+        self.seen.moved.get().map_or(self.since.get(), |moved| moved.max(self.since.get()))
+    }
+
+    /// Whether it has had the answer to all that it asked.
+    fn answered(&self) -> bool {
+        self.seen.heads.get() > 0 && self.seen.head_since.get().is_none()
+    }
+
     /// Lets the connection end after the request that it has, if any.
     fn end(&self) {
         self.closing.set(true);
@@ -140,7 +153,9 @@
         } else {
             over(self.came, ASK_WITHIN)
         };
-        if overdue {
+        // A process that is to end waits for a head that still comes, but not for one that has stopped.
+        let stopped = drain.on() && !self.answered() && over(self.quiet_since(), ASK_SOON);
+        if overdue || stopped {
             self.dropped.set(true);
             self.end();
         } else if (over(self.since.get(), IDLE_MOST) || drain.ends(self.since.get(), now))
@@ -285,6 +300,13 @@
     if mgmt.is_some() && dir.is_none() {
         super::log("TMPDIR is not set: what operators order ends with this process");
     }
+    let crowded = server.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(THIN_EVERY).await;
+            crowded.thin();
+        }
+    });
     let control = Control::new(engine.clone(), drain, Store::open(dir));
     if let Some(mgmt) = mgmt {
         let control = control.clone();
@@ -385,33 +407,54 @@
             let _ = timeout(YIELD_WITHIN, self.descriptors.freed()).await;
         };
         self.clone().connected(stream, permit);
-        // Danger: clients too have only so many connections; those that they ask once on and keep would leave
-        // them none to ask on.
-        let staying = self.clients.borrow().iter().filter(|c| !c.closing.get()).count();
-        if staying > self.clients_most() / 2 {
+        if self.crowded() {
             self.yield_client(true);
         }
     }
 
-    /// Ends the client's connection that has been without a request for longest; `spare` leaves what has just come,
-    /// and all while a flood comes.
+    fn crowded(&self) -> bool {
+        self.staying() > self.clients_most() / 2
+    }
+
+    fn staying(&self) -> usize {
+        self.clients.borrow().iter().filter(|c| !c.closing.get()).count()
+    }
+
+    /// Ends what was asked once on and is kept, while too many stay. Danger: clients too have only so many
+    /// connections; those that they keep would leave them none to ask on, and then none comes that could push
+    /// another out.
+    fn thin(&self) {
+        let mut more = self.staying().saturating_sub(self.clients_most() / 2);
+        while more > 0 && self.yield_client(true) {
+            more -= 1;
+        }
+    }
+
+    /// Ends the client's connection that is least likely to bring a request; false if none may be ended. `spare`
+    /// leaves what has just come, and while a flood comes all but those that ask once and stay.
     /// Danger: a flood of connections that say nothing must push out one another, and not those that ask; but what
     /// has just come and is about to ask must not go before those that have their answer.
-    fn yield_client(&self, spare: bool) {
+    fn yield_client(&self, spare: bool) -> bool {
         let clients = self.clients.borrow();
         let mut idle: Vec<_> = clients.iter().filter(|c| !c.busy.get() && !c.closing.get()).collect();
         let now = Instant::now();
-        let asks = |c: &Client| c.seen.heads.get() > 0 && c.seen.head_since.get().is_none();
-        let flood = idle.iter().filter(|c| !asks(c)).count() > self.clients_most() / SILENT_PART;
-        let about_to_ask = |c: &Client| !asks(c) && !flood && now - c.since.get() < ASK_SOON;
-        if spare && flood {
-            return;
-        }
-        idle.retain(|c| !(spare && about_to_ask(c)));
-        idle.sort_by_key(|c| (about_to_ask(c), asks(c), c.since.get()));
-        if let Some(client) = idle.iter().find(|c| c.socket.silent()).or(idle.first()) {
+        let quiet = |c: &Client, most: Duration| now.saturating_duration_since(c.quiet_since()) > most;
+        let flood = idle.iter().filter(|c| !c.answered()).count() > self.clients_most() / SILENT_PART;
+        let about_to_ask = |c: &Client| !c.answered() && !quiet(c, ASK_SOON);
+        let rank = |c: &Client| match c.answered() {
+            // Some ask once and keep their connection for good.
+            true if c.seen.heads.get() == 1 && quiet(c, ASK_AGAIN) => 0,
+            false if quiet(c, ASK_SOON) => 1,
+            answered if answered == flood => 3,
+            _ => 2,
+        };
+        idle.retain(|c| !spare || if flood { rank(c) == 0 } else { !about_to_ask(c) });
+        idle.sort_by_key(|c| (rank(c), c.quiet_since()));
+        let client = idle.iter().find(|c| c.socket.silent()).or(idle.first());
+        client.is_some_and(|client| {
             client.end();
-        }
+            true
+        })
     }
 
     /// Whether a connection is about to leave its place. Danger: to send another away for each that comes
@@ -435,7 +478,9 @@
                         Some(why) => bad(StatusCode::BAD_REQUEST, why),
                         None => server.respond(request, &client.socket).await,
                     };
-                    if server.drain.on() || client.closing.get() || client.seen.last.get() {
+                    // In a crowd a connection is worth more to the next client than to the one that has its answer.
+                    let leaves = client.seen.heads.get() == 1 && server.crowded();
+                    if leaves || server.drain.on() || client.closing.get() || client.seen.last.get() {
                         closing(&mut response);
                     }
                     if response.body().relayed() {
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -746,3 +746,50 @@
     stalled.iter_mut().for_each(|client| client.write("GET /_hea"));
     assert_eq!(proxy.health(), 200);
 }
+
+/// A proxy with eight places for clients.
+fn narrow() -> (Proxy, Server, Server) {
+    let (cache, discovery) = (Server::new(), Server::new());
+    let mut small = config(discovery.addr, &[member("c1", cache.addr, "std", "ready")]);
+    small["limits"]["sockets"] = json!(40);
+    (Proxy::new(&small), cache, discovery)
+}
+
+/// Danger: an honest client may take long for its head, and must not go for being older than those that stopped.
+#[test]
+fn in_a_crowd_a_head_that_still_comes_outlives_those_that_stopped() {
+    let (proxy, _cache, _discovery) = narrow();
+    let mut slow = proxy.client();
+    slow.write("GET /_health HTTP/1.1\r\nHost: a\r\nX-Slow: ");
+    let mut stopped = Vec::new();
+    for _ in 0..30 {
+        let mut half = proxy.client();
+        half.write("GET /_health HT");
+        stopped.push(half);
+        // Those that came before have been taken in, and have made room, once this one is answered.
+        assert_eq!(proxy.health(), 200);
+        slow.write("x");
+    }
+    assert_eq!(stopped[0].read(), None);
+    slow.write("\r\n\r\n");
+    assert_eq!(slow.answer().status(), 200);
+}
+
+/// Danger: clients that ask once and keep their connection have none left to ask on.
+#[test]
+fn in_a_crowd_the_first_answer_on_a_connection_ends_it() {
+    let (proxy, _cache, _discovery) = narrow();
+    // More than half of the places are taken by connections that may still ask.
+    let _halves: Vec<Peer> = (0..6)
+        .map(|_| {
+            let mut half = proxy.client();
+            half.write("GET /_health HT");
+            half
+        })
+        .collect();
+    let mut once = proxy.client();
+    once.write("GET /_health HTTP/1.1\r\nHost: a\r\n\r\n");
+    let answer = once.answer();
+    assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
+    assert_eq!(once.read(), None);
+}
