Advise every refused client when to come back, and read small answers to their end

An answer is read to its end again, past its last byte, so that hyper sees what stands behind it before the connection is kept.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -71,6 +71,8 @@
 const ZONE_COPY: f64 = 20.0;
 /// Retries and hedges earned by each request.
 const BUDGET: f64 = 0.3;
+/// The wait that is advised where nothing is jammed.
+const SOON: Nanos = 50 * MS;
 /// Timer tokens: the low bits are a request id.
 const HEDGE: u64 = 1 << 56;
 const ASK: u64 = 2 << 56;
@@ -320,11 +322,7 @@
             }
             Event::Excluded(server) => self.ban(now, server, true, actions),
             Event::Included(server) => self.ban(now, server, false, actions),
-            Event::First(id) => {
-                if let Some(open) = self.open.get_mut(&id) {
-                    open.streaming = true;
-                }
-            }
+            Event::First(id) => self.open.get_mut(&id).into_iter().for_each(|open| open.streaming = true),
         }
     }
 
@@ -1272,9 +1270,9 @@
             Effect::Unsafe => !ran,
         };
         if harmless {
-            // Advice to stay away while not all is taken.
-            let wait =
-                if past || self.taken < 1.0 || self.extra < 1.0 { self.settings.max_retry_after } else { 0 };
+            // Advice to stay away while not all is taken, and else to come back soon.
+            let busy = past || self.taken < 1.0 || self.extra < 1.0;
+            let wait = self.settings.max_retry_after.min(if busy { Nanos::MAX } else { SOON });
             actions.push(Action::Refuse { id, retry_after: wait });
         } else {
             actions.push(Action::Fail { id });
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -345,7 +345,8 @@
         // Danger: what has no told length may be large, and a slow one's first bytes would wait for long.
         let unknown = told.exact().is_none() && status(&head) == Status::Ok;
         let mut hold = std::pin::pin!(sleep(HOLD));
-        while !body.is_end_stream() {
+        // Read to its end and not just to its last byte: by then hyper has seen what may stand behind it.
+        loop {
             let frame = tokio::select! {
                 biased;
                 frame = body.frame() => frame,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -999,3 +999,11 @@
     p.now += 30 * SECOND;
     assert_eq!(p.served(1, true), out);
 }
+
+/// Danger: a client that is refused and told nothing asks again as soon or as late as it likes.
+#[test]
+fn every_refusal_advises_when_to_come_back() {
+    let mut p = Proxy::new(settings(), 7);
+    let (_, actions) = p.ask(1);
+    assert!(matches!(actions[..], [Action::Refuse { retry_after, .. }] if retry_after > 0), "{actions:?}");
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -651,6 +651,8 @@
         ("{".to_owned(), "not JSON"),
         (broken(&["listen"], json!(null)), "PROXY_LISTEN"),
         (broken(&["discovery"], json!("nowhere")), "PROXY_DISCOVERY"),
+        (broken(&["mgmt"], json!("nowhere")), "PROXY_MGMT"),
+        (broken(&["mgmt"], json!(10250)), "mgmt"),
         (broken(&["settings"], json!(null)), "settings"),
         (broken(&["settings", "categories"], json!([])), "settings.categories"),
         (broken(&["settings", "categories"], json!([{"deadline_ns": 1}])), "settings.categories.0.name"),
