Split the package into crates by concern and free the core of HTTP types

Need: one package held everything, and the core named the node side's HTTP types, so neither a second protocol nor a laboratory could stand beside it.

Change: a workspace with decision <- settings, core <- proxy, and the simulator's adapter beside it. The core is generic over a Fleet (jobs, replies, attempts) and knows no wire format; a request that the module leaves unanswered is logged by the front. The clients' front is taken apart into accepting, connections, reading, answering and ending. The library of the proxy can be started in-process.

--- a/src/bin/aniseyoke-benchlink.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,9 +1,9 @@
 //! Plays the bench's wire on standard input and output: one decision module for each instance, nothing shared.
 #![forbid(unsafe_code)]
 
-use aniseyoke::api::{Action, Entry, Event, ListKind, Nanos, ServerId};
-use aniseyoke::wire::{self, Line};
-use aniseyoke::Balancer;
+use aniseyoke_benchlink::wire::{self, Line};
+use aniseyoke_decision::api::{Action, Entry, Event, ListKind, Nanos, ServerId};
+use aniseyoke_decision::Balancer;
 use rustc_hash::FxHashMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{catch_unwind, AssertUnwindSafe};
--- a/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -1,7 +1,7 @@
 //! The codec line by line, and a whole conversation with the adapter's binary.
 
-use aniseyoke::api::*;
-use aniseyoke::wire::{self, Line};
+use aniseyoke_benchlink::wire::{self, Line};
+use aniseyoke_decision::api::*;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 
--- a/src/net/engine.rs
+++ b/crates/core/src/engine.rs
@@ -1,10 +1,9 @@
 //! The sole owner of the decision module and of all requests, attempts and timers: events of the network go in,
 //! the module's actions come out. Each request gets one final answer.
 
-use super::config::{Config, Member, Names};
-use super::upstream::{Ended, Job, Reply, Tether, Upstreams};
-use aniseyoke::api::*;
-use aniseyoke::Balancer;
+use crate::fleet::{Ended, Fleet, Job, Tether};
+use aniseyoke_decision::api::*;
+use aniseyoke_decision::Balancer;
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -43,45 +42,49 @@
 }
 
 /// The final answer of a request.
-pub enum Answer {
-    Served(Reply),
+pub enum Answer<R> {
+    /// As a node gave it.
+    Served(R),
     /// Not done, a repeat is harmless; with the advised wait.
     Refused(Duration),
+    /// Failed, nothing promised.
     Failed,
     /// The module had no answer in time.
     Overdue,
 }
 
-/// What a client asks for, in the module's terms; its id is given on arrival.
-pub struct Asked {
+/// What a client asks for, in the module's terms.
+pub struct Asked<J> {
+    /// Its id is given on arrival.
     pub request: Request,
-    pub job: Job,
+    /// What attempts carry.
+    pub job: J,
 }
 
-struct Attempt {
+struct Attempt<T> {
     server: ServerId,
     /// When it was sent, or the last byte of its request came.
     sent: Nanos,
     /// While it is out.
-    out: Option<(Rc<Tether>, AbortHandle)>,
+    out: Option<(Rc<T>, AbortHandle)>,
 }
 
-struct Pending {
+struct Pending<F: Fleet> {
     id: RequestId,
-    job: Rc<Job>,
+    job: Rc<F::Job>,
     /// What the client waits from its last byte on.
     patience: Nanos,
     /// None while that byte has not come.
     deadline: Option<Nanos>,
     /// Until the final answer is given.
-    answer: Option<oneshot::Sender<Answer>>,
-    attempts: Vec<Attempt>,
+    answer: Option<oneshot::Sender<Answer<F::Reply>>>,
+    attempts: Vec<Attempt<F::Tether>>,
 }
 
-struct Core {
+struct Core<F: Fleet> {
     balancer: Balancer,
     next: RequestId,
-    pending: FxHashMap<RequestId, Pending>,
+    pending: FxHashMap<RequestId, Pending<F>>,
 }
 
 /// Ids that were listed at some time: so many are remembered, the oldest forgotten first.
@@ -104,48 +107,49 @@
     }
 }
 
-pub struct Engine {
+/// The owner of the module, of requests, attempts and timers, over a node side.
+pub struct Engine<F: Fleet> {
     clock: Clock,
-    names: Names,
     cancel: bool,
-    core: RefCell<Core>,
-    upstreams: Rc<Upstreams>,
+    core: RefCell<Core<F>>,
+    fleet: Rc<F>,
     watch: mpsc::UnboundedSender<()>,
     listed: RefCell<Listed>,
     /// Discovery has told a list since the start.
     told: Cell<bool>,
-    myself: Weak<Engine>,
+    myself: Weak<Engine<F>>,
 }
 
-impl Engine {
-    /// Starts the module; a message on `watch` asks for the list to be followed.
-    pub fn new(config: Config, upstreams: Rc<Upstreams>, watch: mpsc::UnboundedSender<()>) -> Rc<Self> {
+impl<F: Fleet> Engine<F> {
+    /// Starts the module with the list as it was `known` last; a message on `watch` asks for the list to be followed.
+    pub fn new(
+        settings: Settings,
+        seed: u64,
+        known: &[(Entry, Option<SocketAddr>)],
+        fleet: Rc<F>,
+        watch: mpsc::UnboundedSender<()>,
+    ) -> Rc<Self> {
         let engine = Rc::new_cyclic(|myself| Engine {
             clock: Clock::new(),
-            names: config.names,
-            cancel: config.settings.cancel,
+            cancel: settings.cancel,
             core: RefCell::new(Core {
-                balancer: Balancer::new(config.settings, config.seed),
+                balancer: Balancer::new(settings, seed),
                 next: 1,
                 pending: FxHashMap::default(),
             }),
-            upstreams,
+            fleet,
             watch,
             listed: RefCell::default(),
             told: Cell::new(false),
             myself: myself.clone(),
         });
-        engine.list(ListKind::Cached, config.known.as_ref().map_or(&[], |known| &known.servers));
+        engine.list(ListKind::Cached, known);
         engine
     }
 
-    pub fn names(&self) -> &Names {
-        &self.names
-    }
-
     /// Whether a request could be served now.
     pub fn can_serve(&self) -> bool {
-        self.upstreams.any_ready()
+        self.fleet.any_ready()
     }
 
     /// Whether discovery itself has told of the list, which may have been old before.
@@ -154,13 +158,12 @@
     }
 
     /// News of the list.
-    pub fn list(&self, kind: ListKind, members: &[Member]) {
-        let entries: Vec<(Entry, Option<SocketAddr>)> = members.iter().map(|m| self.names.entry(m)).collect();
+    pub fn list(&self, kind: ListKind, entries: &[(Entry, Option<SocketAddr>)]) {
         self.told.set(self.told.get() || matches!(kind, ListKind::Full | ListKind::Delta));
         if kind != ListKind::Failed {
-            self.upstreams.update(kind != ListKind::Delta, &entries);
+            self.fleet.update(kind != ListKind::Delta, entries);
         }
-        let entries: Vec<Entry> = entries.into_iter().map(|(e, _)| e).collect();
+        let entries: Vec<Entry> = entries.iter().map(|(e, _)| e.clone()).collect();
         entries.iter().for_each(|e| self.listed.borrow_mut().add(e.server));
         self.feed(&mut self.core.borrow_mut(), Event::List { kind, entries });
     }
@@ -174,13 +177,13 @@
     pub fn ban(&self, id: &str, out: bool) {
         let server = server_id(id);
         self.listed.borrow_mut().add(server);
-        self.upstreams.ban(server, out);
+        self.fleet.ban(server, out);
         let event = if out { Event::Excluded(server) } else { Event::Included(server) };
         self.feed(&mut self.core.borrow_mut(), event);
     }
 
     /// A request has come; its answer comes from the ticket.
-    pub fn arrive(&self, asked: Asked) -> Ticket {
+    pub fn arrive(&self, asked: Asked<F::Job>) -> Ticket<F> {
         let Asked { mut request, job } = asked;
         let core = &mut *self.core.borrow_mut();
         let now = self.clock.now();
@@ -192,15 +195,16 @@
         let margin = margin(patience);
         request.remaining = patience - margin;
         let (patience_left, job) = (request.remaining, Rc::new(job));
-        if let Some(upload) = job.body.upload() {
+        let comes = job.comes();
+        if comes {
             let myself = self.myself.clone();
-            upload.on_taken(move || myself.upgrade().iter().for_each(|engine| engine.taken(id)));
+            job.on_taken(move || myself.upgrade().iter().for_each(|engine| engine.taken(id)));
         }
         let pending = Pending {
             id,
             job: job.clone(),
             patience: patience_left,
-            deadline: job.body.upload().is_none().then(|| now.saturating_add(patience_left)),
+            deadline: (!comes).then(|| now.saturating_add(patience_left)),
             answer: Some(answer),
             attempts: Vec::new(),
         };
@@ -236,7 +240,7 @@
     }
 
     /// An attempt has ended by itself.
-    fn ended(&self, id: RequestId, number: usize, ended: Ended) {
+    fn ended(&self, id: RequestId, number: usize, ended: Ended<F::Reply>) {
         let core = &mut *self.core.borrow_mut();
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(attempt) = pending.attempts.get_mut(number) else { return };
@@ -255,7 +259,7 @@
     }
 
     /// How an attempt ended, as the module is told it.
-    fn outcome(&self, pending: &Pending, number: usize, status: Status, hit: Option<bool>) -> Event {
+    fn outcome(&self, pending: &Pending<F>, number: usize, status: Status, hit: Option<bool>) -> Event {
         let Attempt { server, sent, .. } = pending.attempts[number];
         let elapsed = self.clock.now().saturating_sub(sent);
         let last = pending.answer.is_none();
@@ -263,7 +267,7 @@
     }
 
     /// Gives an event to the module and does what it says, and so on with what follows at once from that.
-    fn feed(&self, core: &mut Core, event: Event) {
+    fn feed(&self, core: &mut Core<F>, event: Event) {
         let mut events = VecDeque::from([event]);
         let mut actions = Vec::new();
         while let Some(event) = events.pop_front() {
@@ -274,7 +278,7 @@
         }
     }
 
-    fn act(&self, core: &mut Core, action: Action, events: &mut VecDeque<Event>) {
+    fn act(&self, core: &mut Core<F>, action: Action, events: &mut VecDeque<Event>) {
         match action {
             Action::Send { id, server, timeout } => events.extend(self.send(core, id, server, timeout)),
             Action::Cancel { id, attempt } => events.extend(self.call_off(core, id, attempt as usize)),
@@ -291,14 +295,14 @@
                     }
                 });
             }
-            Action::Close(server) => self.upstreams.close_idle(server),
+            Action::Close(server) => self.fleet.close_idle(server),
             // The receiver is gone only when the proxy ends.
             Action::Subscribe => drop(self.watch.send(())),
         }
     }
 
     /// Starts an attempt; an event comes back when it ends before it began.
-    fn send(&self, core: &mut Core, id: RequestId, server: ServerId, timeout: Nanos) -> Option<Event> {
+    fn send(&self, core: &mut Core<F>, id: RequestId, server: ServerId, timeout: Nanos) -> Option<Event> {
         let now = self.clock.now();
         let pending = core.pending.get_mut(&id)?;
         let number = pending.attempts.len();
@@ -308,10 +312,11 @@
             return Some(self.outcome(pending, number, Status::Moot, None));
         }
         let wait = Duration::from_nanos(if timeout == 0 { left } else { timeout.min(left) });
-        let (job, tether) = (pending.job.clone(), Rc::new(Tether::default()));
-        let (upstreams, held, myself) = (self.upstreams.clone(), tether.clone(), self.myself.clone());
+        let (job, tether) = (pending.job.clone(), Rc::new(F::Tether::default()));
+        let (held, myself) = (tether.clone(), self.myself.clone());
+        let attempt = self.fleet.clone().attempt(server, job, wait, held);
         let task = tokio::task::spawn_local(async move {
-            let ended = upstreams.attempt(server, &job, wait, &held).await;
+            let ended = attempt.await;
             if let Some(engine) = myself.upgrade() {
                 engine.ended(id, number, ended);
             }
@@ -321,7 +326,7 @@
     }
 
     /// Ends an attempt that is out, and its connection with it.
-    fn call_off(&self, core: &mut Core, id: RequestId, number: usize) -> Option<Event> {
+    fn call_off(&self, core: &mut Core<F>, id: RequestId, number: usize) -> Option<Event> {
         let pending = core.pending.get_mut(&id)?;
         let attempt = pending.attempts.get_mut(number)?;
         let (tether, task) = attempt.out.take()?;
@@ -332,7 +337,7 @@
         Some(event)
     }
 
-    fn call_off_all(&self, core: &mut Core, id: RequestId) {
+    fn call_off_all(&self, core: &mut Core<F>, id: RequestId) {
         let attempts = core.pending.get(&id).map_or(0, |p| p.attempts.len());
         for number in 0..attempts {
             if let Some(event) = self.call_off(core, id, number) {
@@ -342,7 +347,13 @@
     }
 
     /// Gives the final answer, if none was given.
-    fn answer(&self, core: &mut Core, id: RequestId, answer: Answer, events: &mut VecDeque<Event>) {
+    fn answer(
+        &self,
+        core: &mut Core<F>,
+        id: RequestId,
+        answer: Answer<F::Reply>,
+        events: &mut VecDeque<Event>,
+    ) {
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(sender) = pending.answer.take() else { return };
         // A client that has just gone needs none.
@@ -357,13 +368,13 @@
     }
 
     /// After the final answer nothing more is written for a request.
-    fn bar(pending: &Pending) {
+    fn bar(pending: &Pending<F>) {
         pending.attempts.iter().filter_map(|a| a.out.as_ref()).for_each(|(tether, _)| tether.bar());
     }
 
     /// Drops a request that has had its answer and has no attempt out.
-    fn forget(core: &mut Core, id: RequestId) {
-        let over = |p: &Pending| p.answer.is_none() && p.attempts.iter().all(|a| a.out.is_none());
+    fn forget(core: &mut Core<F>, id: RequestId) {
+        let over = |p: &Pending<F>| p.answer.is_none() && p.attempts.iter().all(|a| a.out.is_none());
         if core.pending.get(&id).is_some_and(over) {
             core.pending.remove(&id);
         }
@@ -371,20 +382,20 @@
 }
 
 /// A claim on one final answer. Dropped before the answer has come, it tells the module that the client left.
-pub struct Ticket {
+pub struct Ticket<F: Fleet> {
     id: RequestId,
-    answered: Option<oneshot::Receiver<Answer>>,
+    answered: Option<oneshot::Receiver<Answer<F::Reply>>>,
     guard: Duration,
-    job: Weak<Job>,
-    engine: Weak<Engine>,
+    job: Weak<F::Job>,
+    engine: Weak<Engine<F>>,
 }
 
-impl Ticket {
+impl<F: Fleet> Ticket<F> {
     /// Waits for the final answer, at most until just before the client stops waiting.
-    pub async fn answer(&mut self) -> Answer {
+    pub async fn answer(&mut self) -> Answer<F::Reply> {
         let Some(answered) = self.answered.as_mut() else { return Answer::Overdue };
         let late = async {
-            Job::taken(self.job.clone()).await;
+            F::Job::taken(self.job.clone()).await;
             tokio::time::sleep(self.guard).await;
         };
         let got = tokio::select! {
@@ -398,15 +409,12 @@
                 answer
             }
             Some(Err(_)) => Answer::Failed,
-            None => {
-                super::log("a request was left unanswered until its deadline");
-                Answer::Overdue
-            }
+            None => Answer::Overdue,
         }
     }
 }
 
-impl Drop for Ticket {
+impl<F: Fleet> Drop for Ticket<F> {
     fn drop(&mut self) {
         if self.answered.is_some() {
             if let Some(engine) = self.engine.upgrade() {
@@ -419,6 +427,50 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::future::{pending, Future};
+
+    /// A fleet whose nodes never answer.
+    struct Silence;
+    struct Parcel;
+    #[derive(Default)]
+    struct Nothing;
+
+    impl Job for Parcel {
+        fn comes(&self) -> bool {
+            false
+        }
+
+        fn on_taken(&self, _then: impl FnOnce() + 'static) {}
+
+        async fn taken(_job: Weak<Self>) {}
+    }
+
+    impl Tether for Nothing {
+        fn bar(&self) {}
+        fn cut(&self) {}
+    }
+
+    impl Fleet for Silence {
+        type Job = Parcel;
+        type Reply = ();
+        type Tether = Nothing;
+
+        fn update(&self, _whole: bool, _entries: &[(Entry, Option<SocketAddr>)]) {}
+        fn ban(&self, _server: ServerId, _out: bool) {}
+        fn any_ready(&self) -> bool {
+            true
+        }
+        fn close_idle(&self, _server: ServerId) {}
+        fn attempt(
+            self: Rc<Self>,
+            _server: ServerId,
+            _job: Rc<Parcel>,
+            _wait: Duration,
+            _tether: Rc<Nothing>,
+        ) -> impl Future<Output = Ended<()>> + 'static {
+            pending()
+        }
+    }
 
     #[test]
     fn an_impatient_client_keeps_most_of_its_time() {
@@ -431,9 +483,14 @@
     #[tokio::test(flavor = "current_thread")]
     async fn a_request_that_the_module_leaves_unanswered_is_failed() {
         let (_held, answered) = oneshot::channel();
-        let guard = Duration::from_millis(1);
-        let mut ticket =
-            Ticket { id: 1, answered: Some(answered), guard, job: Weak::new(), engine: Weak::new() };
+        let (guard, job) = (Duration::from_millis(1), Rc::new(Parcel));
+        let mut ticket = Ticket::<Silence> {
+            id: 1,
+            answered: Some(answered),
+            guard,
+            job: Rc::downgrade(&job),
+            engine: Weak::new(),
+        };
         assert!(matches!(ticket.answer().await, Answer::Overdue));
     }
 }
--- a/tests/common/mod.rs
+++ b/crates/decision/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A hand-driven proxy for the module's tests: it keeps the clock, the list and what the module did.
 #![allow(dead_code)]
 
-use aniseyoke::api::*;
-use aniseyoke::Balancer;
+use aniseyoke_decision::api::*;
+use aniseyoke_decision::Balancer;
 
 pub const MS: Nanos = 1_000_000;
 pub const SECOND: Nanos = 1_000 * MS;
--- a/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -1,7 +1,7 @@
 //! The module's decisions, one behaviour a test.
 
 mod common;
-use aniseyoke::api::*;
+use aniseyoke_decision::api::*;
 use common::*;
 use std::collections::BTreeMap;
 
--- a/tests/limits.rs
+++ b/crates/decision/tests/limits.rs
@@ -14,7 +14,7 @@
 
 #[test]
 fn no_line_runs_past_110_characters() {
-    let files = [LOGIC, include_str!("../src/api.rs"), include_str!("../src/wire.rs")];
+    let files = [LOGIC, include_str!("../src/api.rs")];
     let long = files.iter().flat_map(|f| f.lines()).find(|l| l.chars().count() > 110);
     assert_eq!(long, None);
 }
--- a/tests/memory.rs
+++ b/crates/decision/tests/memory.rs
@@ -1,7 +1,7 @@
 //! What a module holds does not grow without end, whatever comes and goes.
 
 mod common;
-use aniseyoke::api::*;
+use aniseyoke_decision::api::*;
 use common::*;
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicIsize, Ordering};
--- a/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The six rules as properties over generated event sequences, with a fixed seed.
 
 mod common;
-use aniseyoke::api::*;
+use aniseyoke_decision::api::*;
 use common::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
--- a/src/net/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,6 +1,6 @@
 //! What the platform tells a proxy: the `PROXY_*` variables and the JSON file that they name.
 
-use aniseyoke::api::{server_id, Entry, Nanos, Settings, State};
+use aniseyoke_decision::api::{server_id, Entry, Nanos, Settings, State};
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -66,8 +66,13 @@
 }
 
 impl Names {
+    /// The module's form of a list.
+    pub fn entries(&self, members: &Members) -> Vec<(Entry, Option<SocketAddr>)> {
+        members.servers.iter().map(|m| self.entry(m)).collect()
+    }
+
     /// The module's form of a cache node, and where to connect.
-    pub fn entry(&self, m: &Member) -> (Entry, Option<SocketAddr>) {
+    fn entry(&self, m: &Member) -> (Entry, Option<SocketAddr>) {
         // A name that the settings do not list is none of those that they do.
         let index = |names: &[String], v: &Value| {
             let known = v.as_str().and_then(|name| names.iter().position(|n| n == name));
@@ -128,7 +133,7 @@
         let told = root.get("settings").filter(|s| s.is_object()).ok_or("settings is missing")?;
         let mut pairs = Vec::new();
         flatten("", told, &mut pairs);
-        let settings = aniseyoke::wire::settings(pairs.iter().map(String::as_str))
+        let settings = aniseyoke_settings::settings(pairs.iter().map(String::as_str))
             .map_err(|e| format!("settings: {e}"))?;
         let names = Names {
             classes: names(told, "categories")?,
--- a/src/net/control.rs
+++ b/crates/proxy/src/control.rs
@@ -2,8 +2,8 @@
 
 use super::admin::{Call, Verdict};
 use super::drain::Drain;
-use super::engine::Engine;
 use super::state::{Orders, Store};
+use super::Engine;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
--- a/src/net/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,10 +1,10 @@
 //! Follows the list of cache nodes: a watch at discovery, renewed at once after each answer.
 
-use super::config::Members;
-use super::engine::Engine;
+use super::config::{Members, Names};
 use super::socket::{Descriptors, Io, Socket};
 use super::Body;
-use aniseyoke::api::{ListKind, Nanos};
+use super::Engine;
+use aniseyoke_decision::api::{ListKind, Nanos};
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HOST;
@@ -37,18 +37,19 @@
     /// Danger: were these of the clients' budget, a flood of clients would cut the proxy off from the list.
     descriptors: Rc<Descriptors>,
     sender: Option<SendRequest<Body>>,
+    names: Rc<Names>,
     /// At an address that has not answered yet: the wait before the next call.
     again: Option<Duration>,
 }
 
 impl Discovery {
-    pub fn new(addr: SocketAddr, version: Option<u64>, must_ask_in: Nanos) -> Self {
+    pub fn new(addr: SocketAddr, version: Option<u64>, must_ask_in: Nanos, names: Rc<Names>) -> Self {
         // Half the time in which the list must be asked for: a watch that died unseen is replaced before the
         // proxy counts as told what it never heard.
         let hold =
             Duration::from_nanos(must_ask_in / 2).clamp(Duration::from_secs(1), Duration::from_secs(20));
         let descriptors = Descriptors::new(DESCRIPTORS);
-        Discovery { addr, version, hold, descriptors, sender: None, again: None }
+        Discovery { addr, version, hold, descriptors, sender: None, names, again: None }
     }
 
     /// Starts a watch each time that the module asks for one, and follows it until it breaks. An address that comes
@@ -90,7 +91,7 @@
                     self.version = Some(members.version);
                     self.again = None;
                     let kind = if members.full { ListKind::Full } else { ListKind::Delta };
-                    engine.list(kind, &members.servers);
+                    engine.list(kind, &self.names.entries(&members));
                 }
                 Err(e) => {
                     super::log(format_args!("discovery at {}: {e}", self.addr));
--- /dev/null
+++ b/crates/proxy/src/front/answer.rs
@@ -0,0 +1,156 @@
+//! Answers a client's request, each with one final answer.
+
+use super::request::CORRELATION_ID;
+use super::Server;
+use crate::relay::Outgoing;
+use crate::socket::Socket;
+use crate::upstream::Reply;
+use aniseyoke_core::Answer;
+use hyper::body::{Bytes, Incoming};
+use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode, Version};
+use std::rc::Rc;
+
+/// Headers that belong to one connection and do not go on.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// A request's id, taken while its answer is due.
+struct OpenId {
+    server: Rc<Server>,
+    id: HeaderValue,
+}
+
+impl Drop for OpenId {
+    fn drop(&mut self) {
+        self.server.ids.borrow_mut().remove(&self.id);
+    }
+}
+
+impl Server {
+    pub(super) async fn respond(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        socket: &Rc<Socket>,
+    ) -> Response<Outgoing> {
+        if request.uri().path() == "/_health" {
+            let ready = !self.drain.on() && self.engine.can_serve();
+            return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+        }
+        let may_ask = request.version() == Version::HTTP_11;
+        let asked = match self.asked(request).await {
+            Ok(asked) => asked,
+            Err((status, why)) => {
+                let mut response = bad(status, why);
+                if status == StatusCode::METHOD_NOT_ALLOWED {
+                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, HEAD, PUT"));
+                }
+                return response;
+            }
+        };
+        // Danger: nodes and the bookkeeping of repeats know a request by its id; a second one that bears it is
+        // somebody else's, and must not disturb the first.
+        let id = asked.job.headers[CORRELATION_ID].clone();
+        if !self.ids.borrow_mut().insert(id.clone()) {
+            return bad(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
+        }
+        let open = OpenId { server: self.clone(), id };
+        let bodiless = asked.job.method == Method::HEAD;
+        let mut ticket = self.engine.arrive(asked);
+        let mut response = tokio::select! {
+            biased;
+            answer = ticket.answer() => respond_with(answer, bodiless),
+            // Nobody is left to read this.
+            () = socket.hung_up(may_ask) => plain(StatusCode::BAD_GATEWAY, "the client has gone"),
+        };
+        if response.body().relayed() {
+            response.body_mut().keep(open);
+        }
+        response
+    }
+}
+
+/// Takes out what belongs to one connection alone.
+pub fn strip(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|v| v.to_str().ok())
+        .flat_map(|v| v.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named.iter().chain(&HOP_BY_HOP) {
+        headers.remove(name);
+    }
+}
+
+/// `bodiless`: the answer to a HEAD, which tells the length of a body that does not come.
+fn respond_with(answer: Answer<Reply>, bodiless: bool) -> Response<Outgoing> {
+    match answer {
+        Answer::Served(response) => {
+            let (mut head, body) = response.into_parts();
+            strip(&mut head.headers);
+            // Danger: hyper believes a length that stands here; the body held has one of its own.
+            if !bodiless {
+                head.headers.remove(header::CONTENT_LENGTH);
+            }
+            head.version = Version::HTTP_11;
+            Response::from_parts(head, body)
+        }
+        Answer::Refused(wait) => {
+            let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
+            if !wait.is_zero() {
+                if let Ok(advice) = HeaderValue::try_from(format!("{:.3}", wait.as_secs_f64())) {
+                    response.headers_mut().insert(header::RETRY_AFTER, advice);
+                }
+            }
+            response
+        }
+        Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
+        Answer::Overdue => {
+            crate::log("a request was left unanswered until its deadline");
+            plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+        }
+    }
+}
+
+/// Turns away what is malformed or too large. Danger: a client that sends the like again and again on one connection
+/// costs more than one that has to connect for it; and what follows on it may be the rest of this one.
+pub fn bad(status: StatusCode, why: &'static str) -> Response<Outgoing> {
+    let mut response = plain(status, why);
+    closing(&mut response);
+    response
+}
+
+pub fn closing(response: &mut Response<Outgoing>) {
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Outgoing> {
+    let mut response = Response::new(Outgoing::whole(Bytes::from_static(text.as_bytes()), None));
+    *response.status_mut() = status;
+    response
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+
+    #[test]
+    fn advice_to_wait_reaches_the_client_as_seconds() {
+        for (wait, advice) in [(1500, Some("1.500")), (0, None)] {
+            let answer = respond_with(Answer::Refused(Duration::from_millis(wait)), false);
+            let told = answer.headers().get(header::RETRY_AFTER).and_then(|v| v.to_str().ok());
+            assert_eq!((answer.status(), told), (StatusCode::SERVICE_UNAVAILABLE, advice));
+        }
+    }
+}
--- a/src/net/gate.rs
+++ b/crates/proxy/src/front/gate.rs
@@ -1,7 +1,7 @@
 //! Hands a client's bytes to hyper one request at a time, and looks at each head before hyper does.
 
-use super::socket::{Io, Socket};
-use super::BUFFER_MOST;
+use crate::socket::{Io, Socket};
+use crate::BUFFER_MOST;
 use std::cell::Cell;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
--- /dev/null
+++ b/crates/proxy/src/front/mod.rs
@@ -0,0 +1,212 @@
+//! The clients' listener: what it is started with, and the parts that serve it. [`accept`] takes connections in and
+//! decides who makes room, [`client`] keeps one connection, [`request`] reads and [`answer`] answers, [`stop`] ends.
+
+mod accept;
+mod answer;
+mod client;
+mod gate;
+mod limits;
+mod request;
+mod stop;
+
+use crate::budget::Budget;
+use crate::config::{Config, Names};
+use crate::control::Control;
+use crate::discovery::{self, Discovery};
+use crate::drain::Drain;
+use crate::peers::Peers;
+use crate::socket::Descriptors;
+use crate::state::Store;
+use crate::upstream::Upstreams;
+use crate::{admin, handover, Engine};
+use aniseyoke_decision::api;
+use client::Client;
+use hyper::header::HeaderValue;
+use limits::Limits;
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::signal::unix::Signal;
+use tokio::sync::{mpsc, Notify};
+use tokio::time::{sleep, Instant};
+
+const THIN_EVERY: Duration = Duration::from_millis(20);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// A process that takes over lets clients in once it has the list from discovery, or without it after this time.
+const TOLD_WITHIN: Duration = Duration::from_secs(1);
+const TOLD_AGAIN: Duration = Duration::from_millis(5);
+/// Descriptors that are no sockets of the budget: standard streams, the listener, the runtime's own, the files of
+/// the operators' state, discovery's.
+const OWN_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
+/// A process that stops claims so many descriptors beyond those that it uses.
+const CLAIM_MORE: usize = 4;
+/// Memory that is no connection's.
+const OWN_MEMORY: usize = 8 << 20;
+
+struct Server {
+    engine: Rc<Engine>,
+    upstreams: Rc<Upstreams>,
+    descriptors: Rc<Descriptors>,
+    budget: Rc<Budget>,
+    settings: api::Settings,
+    names: Rc<Names>,
+    drain: Rc<Drain>,
+    /// Processes of this proxy that live beside this one.
+    others: Cell<usize>,
+    clients: RefCell<Vec<Rc<Client>>>,
+    /// The ids of all requests that lack their answer. Their hash is keyed, since clients choose them.
+    ids: RefCell<HashSet<HeaderValue>>,
+    left: Notify,
+}
+
+/// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
+pub async fn run(config: Config, stop: impl Future<Output = ()>, mut hangup: Signal) -> Result<(), String> {
+    let listen = config.listen;
+    let inherited = handover::inherited(listen)?;
+    let handed = inherited.is_some();
+    let listener = match inherited {
+        Some(inherited) => TcpListener::from_std(inherited),
+        None => TcpListener::bind(listen).await,
+    };
+    let listener = listener.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
+    let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
+    crate::log(format_args!("{} on {bound}", if handed { "handover: listening" } else { "listening" }));
+    let dir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(std::path::PathBuf::from);
+    let living = Peers::join(dir.clone());
+    let (door, door_memory) = config.mgmt.map_or((0, 0), |_| (admin::DESCRIPTORS, admin::MEMORY));
+    let own = OWN_DESCRIPTORS + door;
+    let memory = config.memory.saturating_sub(OWN_MEMORY + door_memory);
+    let limits = Limits { sockets: config.sockets, own, memory };
+    let others = living.others();
+    let descriptors = Descriptors::new(limits.part(&others));
+    let budget = Budget::new(limits.held(&others));
+    let settings = config.settings.clone();
+    let (connect_timeout, conn_idle) = (config.connect_timeout, settings.conn_idle);
+    let upstreams = Upstreams::new(descriptors.clone(), budget.clone(), connect_timeout, conn_idle);
+    let (watch, asked) = mpsc::unbounded_channel();
+    let (mgmt, drain) = (config.mgmt, Rc::<Drain>::default());
+    // Danger: who asks for what is newer than an old list hears nothing while nothing is, and can't tell it from a
+    // discovery that is down. A process that takes over asks for the whole list.
+    let version = config.known.as_ref().filter(|_| !handed).map(|known| known.version);
+    let (addr, names) = (config.discovery, Rc::new(config.names));
+    let discovery = Discovery::new(addr, version, settings.must_ask_in, names.clone());
+    let known = config.known.as_ref().map_or_else(Vec::new, |known| names.entries(known));
+    let engine = Engine::new(config.settings, config.seed, &known, upstreams.clone(), watch);
+    let (moves, moved) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(discovery.follow(engine.clone(), asked, moved));
+    tokio::task::spawn_local(async move {
+        while hangup.recv().await.is_some() {
+            match Config::again() {
+                // The receiver is gone only when the proxy ends.
+                Ok(config) => drop(moves.send(config.discovery)),
+                Err(e) => crate::log(format_args!("the settings stay as they are: {e}")),
+            }
+        }
+    });
+    let sweeper = upstreams.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(Duration::from_secs(1)).await;
+            sweeper.sweep();
+        }
+    });
+    let server = Rc::new(Server {
+        engine: engine.clone(),
+        upstreams,
+        descriptors,
+        budget,
+        settings,
+        names,
+        drain: drain.clone(),
+        others: Cell::new(0),
+        clients: RefCell::default(),
+        ids: RefCell::default(),
+        left: Notify::new(),
+    });
+    let watched = server.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(LOOK_EVERY).await;
+            let now = Instant::now();
+            watched.clients.borrow().iter().for_each(|c| c.look(now, &watched.drain));
+        }
+    });
+    if mgmt.is_some() && dir.is_none() {
+        crate::log("TMPDIR is not set: what operators order ends with this process");
+    }
+    let crowded = server.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(THIN_EVERY).await;
+            crowded.thin();
+        }
+    });
+    let control = Control::new(engine.clone(), drain, Store::open(dir));
+    if let Some(mgmt) = mgmt {
+        let control = control.clone();
+        let act = move |call| {
+            let control = control.clone();
+            async move { control.act(call).await }
+        };
+        admin::open(mgmt, act).await?;
+    }
+    let (looking, sharing) = (control.clone(), server.clone());
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(LOOK_EVERY).await;
+            looking.look();
+            sharing.share(&limits, &living);
+        }
+    });
+    tokio::select! {
+        biased;
+        () = stop => {}
+        never = async {
+            if handed {
+                // Danger: what is taken from the queue before it can be served is lost to the one that can.
+                server.until_told().await;
+            }
+            control.serving.set(true);
+            server.accept_all(&listener).await
+        } => match never {},
+    }
+    server.stop(listener, handed).await;
+    Ok(())
+}
+
+impl Server {
+    /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
+    fn clients_most(&self) -> usize {
+        self.descriptors.most() / 2
+    }
+
+    /// Takes no more descriptors than the other processes of this proxy leave; one that stops takes ever fewer.
+    fn share(&self, limits: &Limits, living: &Peers) {
+        let others = living.others();
+        let mut most = limits.part(&others);
+        if self.drain.stopping() && !others.is_empty() {
+            most = most.min(self.descriptors.used() + CLAIM_MORE);
+            living.claim(most + limits.own);
+        }
+        self.budget.limit(limits.held(&others));
+        if most != self.descriptors.most() {
+            self.descriptors.limit(most);
+        }
+        if self.others.replace(others.len()) != others.len() {
+            crate::log(format_args!("{} other processes live: {most} connections at most", others.len()));
+        }
+        while self.descriptors.used() > most && self.upstreams.yield_idle() {}
+    }
+
+    /// Waits until this process can serve as well as the one that it takes over from.
+    async fn until_told(&self) {
+        let start = Instant::now();
+        while !(self.engine.can_serve() && (self.engine.told() || start.elapsed() > TOLD_WITHIN)) {
+            sleep(TOLD_AGAIN).await;
+        }
+        crate::log("handover: clients are let in");
+    }
+}
--- a/src/net/mod.rs
+++ b/crates/proxy/src/lib.rs
@@ -1,4 +1,6 @@
 //! The sockets' side of the proxy: it translates between the network and the decision module.
+#![deny(unsafe_code)]
+#![doc = include_str!("../../../README.md")]
 
 pub mod admin;
 mod budget;
@@ -6,14 +8,12 @@
 pub mod control;
 pub mod discovery;
 pub mod drain;
-pub mod engine;
-mod gate;
+pub mod front;
 mod handover;
 mod peers;
 mod relay;
 #[cfg(test)]
 mod scratch;
-pub mod server;
 mod socket;
 mod state;
 mod upload;
@@ -35,6 +35,8 @@
 const KERNEL_BUFFER: usize = 128 << 10;
 /// What is read ahead of a connection, heads among it, holds at most this.
 const BUFFER_MOST: usize = 16 << 10;
+/// The core over the HTTP node side.
+pub type Engine = aniseyoke_core::Engine<upstream::Upstreams>;
 /// A body that is held whole.
 type Body = Full<Bytes>;
 
--- a/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -1,7 +1,5 @@
 //! The real proxy: starts it as the environment says, rereads its file on SIGHUP, and ends it on SIGTERM or SIGINT.
-#![deny(unsafe_code)]
-
-mod net;
+#![forbid(unsafe_code)]
 
 use std::process::ExitCode;
 use tokio::signal::unix::{signal, SignalKind};
@@ -9,7 +7,7 @@
 async fn run() -> Result<(), String> {
     // Danger: until it is handled this signal ends the process.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let config = net::config::Config::from_env()?;
+    let config = aniseyoke::config::Config::from_env()?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let stop = async move {
@@ -18,7 +16,7 @@
             _ = interrupt.recv() => {}
         }
     };
-    net::server::run(config, stop, hangup).await
+    aniseyoke::front::run(config, stop, hangup).await
 }
 
 #[tokio::main(flavor = "current_thread")]
@@ -26,7 +24,7 @@
     match tokio::task::LocalSet::new().run_until(run()).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            net::log(e);
+            aniseyoke::log(e);
             ExitCode::FAILURE
         }
     }
--- a/src/net/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -5,7 +5,8 @@
 use super::socket::{Descriptors, Io, Socket};
 use super::upload::{Payload, Sending};
 use super::{BODY_MOST, BUFFER_MOST, LARGEST};
-use aniseyoke::api::{Entry, Nanos, ServerId, State, Status};
+use aniseyoke_core::Fleet;
+use aniseyoke_decision::api::{Entry, Nanos, ServerId, State, Status};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -44,9 +45,18 @@
     pub body: Payload,
 }
 
-impl Job {
-    /// Returns once the last byte of a request has come from its client, and never if it does not.
-    pub async fn taken(job: Weak<Job>) {
+impl aniseyoke_core::Job for Job {
+    fn comes(&self) -> bool {
+        self.body.upload().is_some()
+    }
+
+    fn on_taken(&self, then: impl FnOnce() + 'static) {
+        if let Some(upload) = self.body.upload() {
+            upload.on_taken(then);
+        }
+    }
+
+    async fn taken(job: Weak<Job>) {
         // Danger: a wait that holds the job itself would hold the body's connection as well.
         let Some(upload) = job.upgrade().map(|job| job.body.upload().cloned()) else { return };
         if let Some(upload) = upload {
@@ -59,18 +69,7 @@
 pub type Reply = Response<Outgoing>;
 
 /// What came of an attempt.
-pub struct Ended {
-    pub status: Status,
-    pub hit: Option<bool>,
-    /// The answer, where it was served.
-    pub answer: Option<Reply>,
-}
-
-impl From<Status> for Ended {
-    fn from(status: Status) -> Self {
-        Ended { status, hit: None, answer: None }
-    }
-}
+type Ended = aniseyoke_core::Ended<Reply>;
 
 /// The caller's hold on an attempt while it is out.
 #[derive(Default)]
@@ -79,14 +78,13 @@
     barred: Cell<bool>,
 }
 
-impl Tether {
-    /// The request is over: what is not yet written stays unwritten.
-    pub fn bar(&self) {
+impl aniseyoke_core::Tether for Tether {
+    fn bar(&self) {
         self.barred.set(true);
     }
 
-    /// Closes the connection now. Danger: the task that writes it may run before the one that is aborted.
-    pub fn cut(&self) {
+    /// Danger: the task that writes it may run before the one that is aborted.
+    fn cut(&self) {
         self.bar();
         if let Some(socket) = self.socket.take() {
             socket.close();
@@ -143,26 +141,12 @@
     epochs: Cell<u64>,
 }
 
-impl Upstreams {
-    pub fn new(
-        descriptors: Rc<Descriptors>,
-        budget: Rc<Budget>,
-        connect_timeout: Duration,
-        conn_idle: Nanos,
-    ) -> Rc<Self> {
-        // Danger: a request written to a connection that its node is just closing ends as a reset, and may
-        // have run. The node counts from its own last byte, so leave it a good part of the time.
-        let idle_most = match conn_idle {
-            0 => Duration::from_secs(5),
-            limit => Duration::from_nanos(limit / 4 * 3),
-        };
-        let (nodes, banned) = (RefCell::default(), RefCell::default());
-        let epochs = Cell::new(0);
-        Rc::new(Upstreams { nodes, banned, descriptors, budget, connect_timeout, idle_most, epochs })
-    }
+impl Fleet for Upstreams {
+    type Job = Job;
+    type Reply = Reply;
+    type Tether = Tether;
 
-    /// Takes news of the list; `whole` when nodes that it does not name are gone.
-    pub fn update(&self, whole: bool, entries: &[(Entry, Option<SocketAddr>)]) {
+    fn update(&self, whole: bool, entries: &[(Entry, Option<SocketAddr>)]) {
         let mut nodes = self.nodes.borrow_mut();
         if whole {
             let named: FxHashSet<ServerId> = entries.iter().map(|(e, _)| e.server).collect();
@@ -188,8 +172,7 @@
         }
     }
 
-    /// Operators take a node out, or give it back. Danger: what is about to be written there must stay unwritten.
-    pub fn ban(&self, server: ServerId, out: bool) {
+    fn ban(&self, server: ServerId, out: bool) {
         let mut banned = self.banned.borrow_mut();
         if out {
             banned.insert(server);
@@ -203,20 +186,47 @@
         }
     }
 
-    /// Whether any node takes work.
-    pub fn any_ready(&self) -> bool {
+    fn any_ready(&self) -> bool {
         let banned = self.banned.borrow();
         let ready = |(s, n): (&ServerId, &Node)| n.ready && n.addr.is_some() && !banned.contains(s);
         self.nodes.borrow().iter().any(ready)
     }
 
-    /// Closes the idle connections to a node.
-    pub fn close_idle(&self, server: ServerId) {
+    fn close_idle(&self, server: ServerId) {
         if let Some(node) = self.nodes.borrow_mut().get_mut(&server) {
             node.idle.clear();
         }
     }
 
+    async fn attempt(
+        self: Rc<Self>,
+        server: ServerId,
+        job: Rc<Job>,
+        wait: Duration,
+        tether: Rc<Tether>,
+    ) -> Ended {
+        self.within(server, &job, wait, &tether).await
+    }
+}
+
+impl Upstreams {
+    pub fn new(
+        descriptors: Rc<Descriptors>,
+        budget: Rc<Budget>,
+        connect_timeout: Duration,
+        conn_idle: Nanos,
+    ) -> Rc<Self> {
+        // Danger: a request written to a connection that its node is just closing ends as a reset, and may
+        // have run. The node counts from its own last byte, so leave it a good part of the time.
+        let idle_most = match conn_idle {
+            0 => Duration::from_secs(5),
+            limit => Duration::from_nanos(limit / 4 * 3),
+        };
+        let (nodes, banned) = (RefCell::default(), RefCell::default());
+        let epochs = Cell::new(0);
+        Rc::new(Upstreams { nodes, banned, descriptors, budget, connect_timeout, idle_most, epochs })
+    }
+
     /// Closes idle connections that have ended or stood too long.
     pub fn sweep(&self) {
         let keep = |i: &Idle| i.since.elapsed() < self.idle_most && !i.connection.sender.is_closed();
@@ -231,13 +241,7 @@
     }
 
     /// One attempt: at most `wait` long from the last byte of the request on.
-    pub async fn attempt(
-        self: &Rc<Self>,
-        server: ServerId,
-        job: &Job,
-        wait: Duration,
-        tether: &Tether,
-    ) -> Ended {
+    async fn within(self: &Rc<Self>, server: ServerId, job: &Job, wait: Duration, tether: &Tether) -> Ended {
         let over = async {
             tokio::select! {
                 () = job.body.taken() => sleep(wait).await,
@@ -508,7 +512,7 @@
             headers: HeaderMap::new(),
             body: Payload::empty(),
         };
-        let ended = upstreams.attempt(1, &job, Duration::from_secs(30), &Tether::default()).await;
+        let ended = upstreams.within(1, &job, Duration::from_secs(30), &Tether::default()).await;
         assert_eq!(ended.status, Status::Moot);
     }
 }
