--- /dev/null
+++ b/crates/lab/src/clock.rs
@@ -0,0 +1,63 @@
+//! The one clock of a trial: nanoseconds since its start, the same for site, load and auditor.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// A point in time since the start of the trial, or a span, in nanoseconds.
+pub type Nanos = u64;
+
+/// Nanoseconds in a second.
+pub const SECOND: Nanos = 1_000_000_000;
+/// Nanoseconds in a millisecond.
+pub const MS: Nanos = 1_000_000;
+
+/// A monotonic clock, with the Unix time of its start for what is told to proxies.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix_ms: u64,
+}
+
+impl Clock {
+    /// Starts now.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix_ms: unix.as_millis() as u64 }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Nanos {
+        self.start.elapsed().as_nanos() as Nanos
+    }
+
+    /// A point of this clock on the system's.
+    pub fn instant(&self, at: Nanos) -> Instant {
+        self.start + Duration::from_nanos(at)
+    }
+
+    /// A point of this clock as Unix time, in milliseconds.
+    pub fn unix_ms(&self, at: Nanos) -> u64 {
+        self.unix_ms + at / MS
+    }
+}
+
+/// A span as nanoseconds.
+pub fn nanos(span: Duration) -> Nanos {
+    u64::try_from(span.as_nanos()).unwrap_or(u64::MAX)
+}
+
+/// A well mixed 64-bit value of a seed and two numbers (splitmix64's finalizer): draws that must not depend on the
+/// order in which things happen come from here.
+pub fn mix(seed: u64, a: u64, b: u64) -> u64 {
+    let round = |mut z: u64| {
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    };
+    let first = round(seed.wrapping_add(a.wrapping_mul(0x9e37_79b9_7f4a_7c15)));
+    round(first.wrapping_add(b.wrapping_mul(0x9e37_79b9_7f4a_7c15)).wrapping_add(0x9e37_79b9_7f4a_7c15))
+}
+
+/// A mixed value as a part of one, in [0, 1).
+pub fn part(mixed: u64) -> f64 {
+    (mixed >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/lab/src/day/builtin.rs
@@ -0,0 +1,16 @@
+//! The days that come with the laboratory.
+
+/// Name and text of each.
+pub const BUILTIN: [(&str, &str); 6] = [
+    ("quiet", include_str!("../../days/quiet.toml")),
+    ("deploy", include_str!("../../days/deploy.toml")),
+    ("silence", include_str!("../../days/silence.toml")),
+    ("ledger", include_str!("../../days/ledger.toml")),
+    ("chuseok", include_str!("../../days/chuseok.toml")),
+    ("plain", include_str!("../../days/plain.toml")),
+];
+
+/// The text of a built-in day.
+pub fn builtin(name: &str) -> Option<&'static str> {
+    BUILTIN.iter().find(|(n, _)| *n == name).map(|(_, text)| *text)
+}
--- /dev/null
+++ b/crates/lab/src/day/tests.rs
@@ -0,0 +1,67 @@
+//! What a day's file may say and what it is told when it may not.
+
+use super::*;
+
+const QUIET: &str = include_str!("../../days/quiet.toml");
+
+fn faults(text: &str) -> Vec<String> {
+    Day::parse("my.toml", text).expect_err("refused").faults
+}
+
+#[test]
+fn every_built_in_day_is_sound_and_bears_its_own_name() {
+    for (name, text) in BUILTIN {
+        let day = Day::parse(name, text).unwrap_or_else(|e| panic!("{e}"));
+        assert_eq!(day.name, name);
+    }
+}
+
+#[test]
+fn a_key_that_is_not_known_is_refused_with_its_place() {
+    let fault = faults(&QUIET.replace("rate =", "rats ="));
+    assert!(fault[0].contains("rats") && fault[0].contains("line"), "{fault:?}");
+}
+
+#[test]
+fn a_wrong_unit_is_refused_with_its_place() {
+    let fault = faults(&QUIET.replace("length = \"20s\"", "length = \"20 parsecs\""));
+    assert!(fault[0].contains("parsecs") && fault[0].contains("line 3"), "{fault:?}");
+}
+
+/// Danger: who mends one fault and starts again for the next gives up on the third.
+#[test]
+fn all_impossible_values_are_reported_at_once_each_with_its_key() {
+    let text = QUIET
+        .replace("rate = 250", "rate = -1")
+        .replace("count = 10", "count = 0")
+        .replace("aim = \"600ms\"", "aim = \"6s\"")
+        .replace("share = 0.55", "share = 0.95");
+    let text = format!("{text}\n[[trouble]]\nkind = \"slow\"\nat = \"1h\"\nfor = \"1s\"\nnodes = [77]\n");
+    let faults = faults(&text);
+    let keys: Vec<&str> = faults.iter().filter_map(|f| f.split(':').next()).collect();
+    assert_eq!(
+        keys,
+        [
+            "site.cache.count",
+            "load.rate",
+            "load.classes.0.aim",
+            "load.tenants",
+            "trouble.0.at",
+            "trouble.0.nodes",
+            "trouble.0.size"
+        ],
+        "{faults:?}"
+    );
+}
+
+#[test]
+fn a_day_that_is_nowhere_names_those_that_are() {
+    let error = Day::open("no-such-day").expect_err("nowhere").to_string();
+    assert!(error.contains("no-such-day") && error.contains("chuseok"), "{error}");
+}
+
+#[test]
+fn a_squeezed_day_keeps_its_troubles_within_it() {
+    let day = Day::open("deploy").expect("built in").squeezed(0.5);
+    assert_eq!((day.length, day.troubles[0].at), (Duration::from_secs(15), Duration::from_secs(2)));
+}
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,15 @@
+//! The laboratory of aniseyoke: everything that a figure of this project needs and that CI can have.
+//!
+//! - [`day`]: a site and its day as one TOML file, checked whole before anything starts.
+//! - [`world`]: the model of cache nodes, ledger, roster and troubles; no I/O, no clock of its own.
+//! - [`site`]: the model on loopback sockets, in the platform's protocol.
+//! - [`load`]: clients in open loop, well-behaved and not.
+//! - [`audit`]: what clients sent and got and what nodes received, held against the rules.
+//! - [`trial`]: one day from start to end: site, subjects, load, audit, report.
+//! - [`floor`]: a bare pass-through, the least that any proxy costs.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod clock;
+pub mod day;
+pub mod world;
--- /dev/null
+++ b/crates/lab/src/world/machine.rs
@@ -0,0 +1,211 @@
+//! One machine, a cache node or the ledger: slots, waiting room, cold start, and the fall under too much work.
+
+use super::budget::{warmth, Window};
+use super::share::Share;
+use super::Ticket;
+use crate::clock::Nanos;
+use std::collections::VecDeque;
+
+/// What a machine is.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    /// Cores.
+    pub cores: f64,
+    /// Speed of each.
+    pub speed: f64,
+    /// Requests in work at once.
+    pub slots: usize,
+    /// Requests that wait.
+    pub room: usize,
+    /// Waiting work is dropped when given up.
+    pub drops_queued: bool,
+    /// It is warm after this time.
+    pub cold: Nanos,
+    /// Part of its capacity that it starts with.
+    pub cold_from: f64,
+    /// It falls when sent more than this multiple of its capacity...
+    pub fall_multiple: f64,
+    /// ...within this time.
+    pub fall: Nanos,
+    /// Whether that holds for a warm machine too.
+    pub falls_warm: bool,
+}
+
+/// What has become of new work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admitted {
+    /// It is in work.
+    Begun,
+    /// It waits.
+    Waits,
+    /// It was turned away: slots and room are full.
+    Full,
+    /// The machine fell under it.
+    Fell,
+}
+
+/// A machine at work.
+#[derive(Debug)]
+pub struct Machine {
+    spec: Spec,
+    share: Share,
+    queue: VecDeque<(Ticket, Nanos)>,
+    /// When it started; none: long ago.
+    born: Option<Nanos>,
+    /// What slows it now.
+    slowed: f64,
+    window: Window,
+    /// Counts what makes an earlier forecast of its next event void.
+    pub forecast: u64,
+}
+
+impl Machine {
+    /// A machine that has been running for long.
+    pub fn new(spec: Spec) -> Self {
+        let (share, window) = (Share::new(spec.cores, spec.speed), Window::new(spec.fall));
+        Machine { spec, share, queue: VecDeque::new(), born: None, slowed: 1.0, window, forecast: 0 }
+    }
+
+    /// The process starts anew, cold and empty.
+    pub fn restart(&mut self, now: Nanos) {
+        self.stop(now);
+        self.born = Some(now);
+        self.retune(now);
+    }
+
+    /// The process ends with all that it had.
+    pub fn stop(&mut self, now: Nanos) {
+        self.share.clear(now);
+        self.queue.clear();
+        self.window.clear();
+    }
+
+    /// Whether it is still warming.
+    pub fn is_cold(&self, now: Nanos) -> bool {
+        self.born.is_some_and(|born| now < born + self.spec.cold)
+    }
+
+    /// Cores times speed, as far as it is warm, without passing troubles.
+    fn capacity(&self, now: Nanos) -> f64 {
+        let age = self.born.map_or(Nanos::MAX, |born| now.saturating_sub(born));
+        self.spec.cores * self.spec.speed * warmth(age, self.spec.cold, self.spec.cold_from)
+    }
+
+    /// Runs at this part of its speed from now on.
+    pub fn slow(&mut self, now: Nanos, part: f64) {
+        self.slowed = part;
+        self.retune(now);
+    }
+
+    /// Takes its present warmth into account.
+    pub fn retune(&mut self, now: Nanos) {
+        let speed = self.capacity(now) / self.spec.cores * self.slowed;
+        self.share.set_speed(now, speed);
+    }
+
+    /// Requests in work and waiting.
+    #[cfg(test)]
+    pub fn held(&self) -> usize {
+        self.share.len() + self.queue.len()
+    }
+
+    /// The part of the work sent lately that misses at cold nodes caused.
+    pub fn cold_part(&self) -> f64 {
+        self.window.cold_part()
+    }
+
+    /// Takes new work; `from_cold`: a miss at a cold node caused it.
+    pub fn admit(&mut self, now: Nanos, ticket: Ticket, work: Nanos, from_cold: bool) -> Admitted {
+        self.window.book(now, work, from_cold);
+        let may_fall = self.spec.falls_warm || self.is_cold(now);
+        if may_fall && self.window.over(self.spec.fall_multiple, self.capacity(now)) {
+            return Admitted::Fell;
+        }
+        if self.share.len() < self.spec.slots {
+            self.share.begin(now, ticket, work);
+            return Admitted::Begun;
+        }
+        if self.queue.len() < self.spec.room {
+            self.queue.push_back((ticket, work));
+            return Admitted::Waits;
+        }
+        Admitted::Full
+    }
+
+    /// A proxy no longer waits; true if the work was dropped. What is in work goes on.
+    pub fn give_up(&mut self, ticket: Ticket) -> bool {
+        if !self.spec.drops_queued {
+            return false;
+        }
+        let before = self.queue.len();
+        self.queue.retain(|(t, _)| *t != ticket);
+        self.queue.len() < before
+    }
+
+    /// Takes work that is done; `begun` is told of what begins in its place.
+    pub fn take_done(&mut self, now: Nanos, mut begun: impl FnMut(Ticket)) -> Option<Ticket> {
+        let done = self.share.take_done(now)?;
+        if let Some((ticket, work)) = self.queue.pop_front() {
+            self.share.begin(now, ticket, work);
+            begun(ticket);
+        }
+        Some(done)
+    }
+
+    /// When something next happens to it by itself: work is done, or it has warmed a little.
+    pub fn next_due(&self, now: Nanos) -> Option<Nanos> {
+        /// Steps in which a rise of capacity is played.
+        const STEP: Nanos = 100 * crate::clock::MS;
+        let done = self.share.next_due()?;
+        Some(if self.is_cold(now) { done.min(now + STEP) } else { done })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn spec() -> Spec {
+        Spec {
+            cores: 1.0,
+            speed: 1.0,
+            slots: 1,
+            room: 1,
+            drops_queued: true,
+            cold: 1000,
+            cold_from: 0.5,
+            fall_multiple: 3.0,
+            fall: 100,
+            falls_warm: false,
+        }
+    }
+
+    #[test]
+    fn slots_then_room_then_turned_away_and_waiting_work_can_be_given_up() {
+        let mut m = Machine::new(spec());
+        assert_eq!(m.admit(0, 1, 10, false), Admitted::Begun);
+        assert_eq!(m.admit(0, 2, 10, false), Admitted::Waits);
+        assert_eq!(m.admit(0, 3, 10, false), Admitted::Full);
+        assert!(!m.give_up(1), "what is in work goes on");
+        let mut begun = Vec::new();
+        assert_eq!(m.take_done(10, |t| begun.push(t)), Some(1));
+        assert_eq!(begun, [2]);
+        assert_eq!(m.admit(10, 4, 10, false), Admitted::Waits);
+        assert!(m.give_up(4));
+        assert_eq!(m.held(), 1);
+    }
+
+    /// Danger: the fall of a cold node is one of the rules; a model in which nothing falls proves nothing.
+    #[test]
+    fn a_cold_machine_falls_under_what_a_warm_one_bears() {
+        let mut m = Machine::new(Spec { slots: 100, ..spec() });
+        for ticket in 0..20 {
+            assert_eq!(m.admit(5, ticket, 10, false), Admitted::Begun);
+        }
+        m.restart(10);
+        for ticket in 0..15 {
+            assert_eq!(m.admit(10, ticket, 10, false), Admitted::Begun, "{ticket}");
+        }
+        assert_eq!(m.admit(10, 15, 10, false), Admitted::Fell);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/share.rs
@@ -0,0 +1,116 @@
+//! Processor sharing: a machine's cores divided evenly among the work that it has begun.
+
+use crate::clock::Nanos;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Work in progress on some cores. Each piece gets an even part of them, and never more than one core.
+///
+/// It counts the service that a piece begun at the start would have had (`served`), so that each piece is done once
+/// that count reaches a mark of its own, whatever the rate did in between.
+#[derive(Debug)]
+pub struct Share {
+    cores: f64,
+    /// Speed of one core, times whatever slows it now.
+    speed: f64,
+    /// Service for each piece so far, in nanoseconds of work.
+    served: f64,
+    last: Nanos,
+    /// Marks and pieces.
+    marks: BinaryHeap<Reverse<(u64, u64)>>,
+}
+
+impl Share {
+    /// So many cores of this speed.
+    pub fn new(cores: f64, speed: f64) -> Self {
+        Share { cores, speed, served: 0.0, last: 0, marks: BinaryHeap::new() }
+    }
+
+    /// Pieces in progress.
+    pub fn len(&self) -> usize {
+        self.marks.len()
+    }
+
+    fn rate(&self) -> f64 {
+        self.speed * (self.cores / self.marks.len().max(1) as f64).min(1.0)
+    }
+
+    fn advance(&mut self, now: Nanos) {
+        if !self.marks.is_empty() {
+            self.served += now.saturating_sub(self.last) as f64 * self.rate();
+        }
+        self.last = now;
+    }
+
+    /// From now on a core has this speed.
+    pub fn set_speed(&mut self, now: Nanos, speed: f64) {
+        self.advance(now);
+        self.speed = speed;
+    }
+
+    /// Begins a piece of so much work, in nanoseconds on a core of speed 1.
+    pub fn begin(&mut self, now: Nanos, piece: u64, work: Nanos) {
+        self.advance(now);
+        self.marks.push(Reverse((self.served as u64 + work, piece)));
+    }
+
+    /// When the next piece will be done if nothing changes.
+    pub fn next_due(&self) -> Option<Nanos> {
+        let Reverse((mark, _)) = self.marks.peek()?;
+        let left = (*mark as f64 - self.served).max(0.0);
+        Some(self.last.saturating_add((left / self.rate()).ceil() as Nanos))
+    }
+
+    /// Takes a piece that is done.
+    pub fn take_done(&mut self, now: Nanos) -> Option<u64> {
+        self.advance(now);
+        let Reverse((mark, piece)) = *self.marks.peek()?;
+        // A nanosecond of rounding must not leave a piece for ever.
+        if mark as f64 > self.served + 1.0 {
+            return None;
+        }
+        self.marks.pop();
+        Some(piece)
+    }
+
+    /// Drops everything.
+    pub fn clear(&mut self, now: Nanos) {
+        self.marks.clear();
+        self.last = now;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ends(share: &mut Share) -> Vec<(Nanos, u64)> {
+        let mut ends = Vec::new();
+        while let Some(due) = share.next_due() {
+            while let Some(piece) = share.take_done(due) {
+                ends.push((due, piece));
+            }
+        }
+        ends
+    }
+
+    #[test]
+    fn pieces_share_one_core_and_never_use_more_than_one_each() {
+        let mut one = Share::new(1.0, 1.0);
+        one.begin(0, 1, 100);
+        one.begin(0, 2, 200);
+        assert_eq!(ends(&mut one), [(200, 1), (300, 2)]);
+        let mut four = Share::new(4.0, 2.0);
+        four.begin(0, 1, 100);
+        four.begin(0, 2, 200);
+        assert_eq!(ends(&mut four), [(50, 1), (100, 2)]);
+    }
+
+    #[test]
+    fn a_change_of_speed_counts_from_then_on() {
+        let mut share = Share::new(1.0, 1.0);
+        share.begin(0, 1, 100);
+        share.set_speed(50, 0.5);
+        assert_eq!(share.next_due(), Some(150));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/value.rs
@@ -0,0 +1,89 @@
+//! What follows from the day's seed alone: keys by popularity, the work of a request, the length of an answer.
+
+use crate::clock::{mix, part, Nanos};
+use crate::day::Day;
+use rand::Rng;
+use rand_distr::{Distribution, Zipf};
+
+/// The keys of a day.
+#[derive(Clone, Debug)]
+pub struct Catalogue {
+    seed: u64,
+    mean_length: u64,
+    zipf: Zipf<f64>,
+}
+
+/// No value is longer than this multiple of the mean.
+const LONGEST: f64 = 12.0;
+/// No work is more than this multiple of the mean.
+const HARDEST: f64 = 25.0;
+/// How far the lengths of values are apart (sigma of the log-normal).
+const LENGTH_SIGMA: f64 = 0.6;
+
+impl Catalogue {
+    /// The catalogue of a day.
+    ///
+    /// # Panics
+    /// Never for a day that was read: its keys and exponent are checked there.
+    pub fn new(day: &Day) -> Self {
+        let zipf = Zipf::new(day.load.keys as f64, day.load.zipf).expect("checked with the day");
+        Catalogue { seed: day.seed, mean_length: day.load.answer_bytes, zipf }
+    }
+
+    /// The key of a rank; 0 is the most popular.
+    pub fn key(&self, rank: u64) -> u64 {
+        mix(self.seed, 0x4e1, rank)
+    }
+
+    /// Draws a key by popularity.
+    pub fn draw(&self, rng: &mut impl Rng) -> u64 {
+        self.key(self.zipf.sample(rng) as u64 - 1)
+    }
+
+    /// The length of the value of a key, in bytes.
+    pub fn length(&self, key: u64) -> usize {
+        let factor = log_normal(mix(self.seed, 0x1e4, key), LENGTH_SIGMA).min(LONGEST);
+        (self.mean_length as f64 * factor).max(64.0) as usize
+    }
+}
+
+/// The work of a request, in nanoseconds on a core of speed 1.
+pub fn work(day: &Day, request: u64, class: usize) -> Nanos {
+    let class = &day.load.classes[class];
+    let sigma = (1.0 + class.work_spread * class.work_spread).ln().sqrt();
+    let factor = log_normal(mix(day.seed, 0x304, request), sigma).min(HARDEST);
+    (class.work.as_nanos() as f64 * factor).max(1000.0) as Nanos
+}
+
+/// A log-normal value of mean 1, from one mixed number (Box and Muller).
+fn log_normal(mixed: u64, sigma: f64) -> f64 {
+    let (u, v) = (part(mixed).max(1e-12), part(mix(mixed, 1, 2)));
+    let normal = (-2.0 * u.ln()).sqrt() * (std::f64::consts::TAU * v).cos();
+    (sigma * normal - sigma * sigma / 2.0).exp()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::rngs::Xoshiro256PlusPlus;
+    use rand::SeedableRng;
+
+    #[test]
+    fn work_has_the_mean_that_the_class_states_and_follows_from_the_request_alone() {
+        let day = Day::open("quiet").expect("built in");
+        let mean = (0..20_000).map(|r| work(&day, r, 0) as f64).sum::<f64>() / 20_000.0;
+        let told = day.load.classes[0].work.as_nanos() as f64;
+        assert!((mean / told - 1.0).abs() < 0.05, "{mean} against {told}");
+        assert_eq!(work(&day, 7, 0), work(&day, 7, 0));
+    }
+
+    #[test]
+    fn a_few_keys_draw_most_requests() {
+        let day = Day::open("quiet").expect("built in");
+        let catalogue = Catalogue::new(&day);
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+        let top: Vec<u64> = (0..day.load.keys / 100).map(|r| catalogue.key(r)).collect();
+        let drawn = (0..2000).filter(|_| top.contains(&catalogue.draw(&mut rng))).count();
+        assert!(drawn > 800, "{drawn} of 2000 for the most popular hundredth");
+    }
+}
