--- /dev/null
+++ b/crates/lab/src/audit/mod.rs
@@ -0,0 +1,154 @@
+//! Holds what was seen against the rules. Each request is judged on its own some seconds after its end, and then
+//! forgotten; what concerns the whole site is judged as it is seen.
+
+mod evidence;
+mod rules;
+
+pub use evidence::{Evidence, Recorder, Seen};
+pub use rules::{Judge, Rule};
+
+use crate::clock::{nanos, Nanos, SECOND};
+use crate::day::Day;
+use serde::Serialize;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::thread::JoinHandle;
+
+/// Batches that may wait for the auditor.
+const WAITING_MOST: usize = 4096;
+/// Violations that are kept with their history; the rest are counted.
+const KEPT_MOST: usize = 20;
+/// What is kept of one request's history.
+const HISTORY_MOST: usize = 64;
+
+/// A broken rule.
+#[derive(Clone, Debug, Serialize)]
+pub struct Violation {
+    /// Which.
+    pub rule: Rule,
+    /// What happened.
+    pub what: String,
+    /// Everything seen of the request, in order, one line each.
+    pub history: Vec<String>,
+}
+
+/// What the auditor found.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Verdict {
+    /// Requests judged.
+    pub requests: u64,
+    /// Attempts that reached a member.
+    pub attempts: u64,
+    /// Requests on a new connection that was closed before anything of them went on. No rule is broken by these.
+    pub closed_at_the_door: u64,
+    /// Broken rules, counted.
+    pub broken: BTreeMap<Rule, u64>,
+    /// The first of them.
+    pub violations: Vec<Violation>,
+}
+
+impl Verdict {
+    /// Whether no rule was broken.
+    pub fn clean(&self) -> bool {
+        self.broken.is_empty()
+    }
+
+    fn add(&mut self, violation: Violation) {
+        *self.broken.entry(violation.rule).or_default() += 1;
+        if self.violations.len() < KEPT_MOST {
+            self.violations.push(violation);
+        }
+    }
+}
+
+/// The auditor at work: takes evidence in, in any order within some seconds.
+pub struct Auditor {
+    judge: Judge,
+    /// A request is judged so long after it was first seen: all about it is over by then.
+    horizon: Nanos,
+    cases: HashMap<u64, Vec<Evidence>>,
+    queue: VecDeque<(Nanos, u64)>,
+    latest: Nanos,
+    verdict: Verdict,
+}
+
+impl Auditor {
+    /// An auditor for a day.
+    pub fn new(day: &Day) -> Self {
+        let longest = day.load.classes.iter().map(|c| nanos(c.give_up)).max().unwrap_or(0);
+        // Slow clients take a while longer, and a repeat is looked for until its mark is forgotten.
+        let horizon = longest + nanos(day.site.ledger.repeats) + 4 * SECOND;
+        Auditor {
+            judge: Judge::new(day),
+            horizon,
+            cases: HashMap::new(),
+            queue: VecDeque::new(),
+            latest: 0,
+            verdict: Verdict::default(),
+        }
+    }
+
+    /// Takes something in.
+    pub fn take(&mut self, evidence: Evidence) {
+        self.latest = self.latest.max(evidence.at);
+        let Some(request) = evidence.seen.request() else {
+            if let Some(violation) = self.judge.site(&evidence) {
+                self.verdict.add(violation);
+            }
+            return;
+        };
+        let queue = &mut self.queue;
+        let case = self.cases.entry(request).or_insert_with(|| {
+            queue.push_back((evidence.at, request));
+            Vec::with_capacity(8)
+        });
+        if case.len() < HISTORY_MOST {
+            case.push(evidence);
+        }
+    }
+
+    /// Judges what is old enough.
+    pub fn judge_old(&mut self) {
+        while self.queue.front().is_some_and(|(at, _)| at + self.horizon < self.latest) {
+            self.judge_next();
+        }
+    }
+
+    fn judge_next(&mut self) {
+        let Some((_, request)) = self.queue.pop_front() else { return };
+        let Some(mut history) = self.cases.remove(&request) else { return };
+        history.sort_by_key(|e| e.at);
+        self.verdict.requests += 1;
+        let reached = |e: &&Evidence| matches!(e.seen, Seen::Reached { .. });
+        self.verdict.attempts += history.iter().filter(reached).count() as u64;
+        let found = self.judge.request(&history);
+        self.verdict.closed_at_the_door += u64::from(found.closed_at_the_door);
+        for (rule, what) in found.broken {
+            let history =
+                history.iter().map(|e| format!("{:9.3} s  {:?}", e.at as f64 / 1e9, e.seen)).collect();
+            self.verdict.add(Violation { rule, what, history });
+        }
+    }
+
+    /// Judges all that is left.
+    pub fn finish(mut self) -> Verdict {
+        while !self.queue.is_empty() {
+            self.judge_next();
+        }
+        self.verdict
+    }
+}
+
+/// Starts an auditor on a thread of its own; it ends, with its verdict, once every recorder is gone.
+pub fn start(day: &Day) -> (SyncSender<Vec<Evidence>>, JoinHandle<Verdict>) {
+    let (out, evidence): (_, Receiver<Vec<Evidence>>) = sync_channel(WAITING_MOST);
+    let mut auditor = Auditor::new(day);
+    let judge = move || {
+        for batch in evidence {
+            batch.into_iter().for_each(|e| auditor.take(e));
+            auditor.judge_old();
+        }
+        auditor.finish()
+    };
+    (out, std::thread::spawn(judge))
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -10,6 +10,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod audit;
 pub mod clock;
 pub mod day;
+pub mod floor;
+pub mod load;
+pub mod site;
+pub mod trial;
 pub mod world;
--- /dev/null
+++ b/crates/lab/src/load/mod.rs
@@ -0,0 +1,157 @@
+//! Clients in open loop: arrivals are drawn ahead and released when they are due, whatever has been answered by then.
+
+mod client;
+mod plan;
+mod tally;
+
+pub use plan::{Arrival, Manner, Plan};
+pub use tally::{Outcome, Row, Tally, OUTCOMES};
+
+use crate::audit::Recorder;
+use crate::clock::{nanos, Clock, Nanos, SECOND};
+use crate::day::Day;
+use crate::site::Front;
+use client::Clients;
+use std::io;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+/// Requests that may be out at once; beyond that the load tool gives up, and the trial is void.
+const OUT_MOST: usize = 20_000;
+/// Arrivals that may wait between the pacing thread and the clients.
+const RELEASED_MOST: usize = 1 << 14;
+/// A closed idle connection is opened again after this time.
+const IDLE_AGAIN: Duration = Duration::from_secs(1);
+
+/// What others see of a load while it runs.
+#[derive(Default)]
+pub struct Progress {
+    /// Arrivals released so far.
+    pub released: AtomicU64,
+    /// Requests that have ended.
+    pub ended: AtomicU64,
+    /// Set to end the load early; what is out still ends.
+    pub stop: AtomicBool,
+}
+
+/// A load that runs on threads of its own.
+pub struct Load {
+    /// How far it is.
+    pub progress: Arc<Progress>,
+    thread: JoinHandle<Tally>,
+}
+
+impl Load {
+    /// Starts the load of a day at `from` on the clock, over at most so many connections at once.
+    ///
+    /// # Errors
+    /// If the system lacks threads.
+    pub fn start(
+        day: &Day,
+        clock: Clock,
+        from: Nanos,
+        front: Arc<Front>,
+        connections: usize,
+        recorder: impl FnOnce() -> Recorder + Send + 'static,
+    ) -> io::Result<Load> {
+        let progress = Arc::<Progress>::default();
+        let (released, arrivals) = mpsc::channel(RELEASED_MOST);
+        let (planned, pacing) = (day.clone(), progress.clone());
+        let pace = move || pace(&planned, clock, from, &pacing, &released);
+        std::thread::Builder::new().name("pace".into()).spawn(pace)?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let (day, counted) = (day.clone(), progress.clone());
+        let run = move || {
+            let clients = Clients::new(&day, clock, front, recorder(), connections);
+            let local = tokio::task::LocalSet::new();
+            local.block_on(&runtime, release(clients.clone(), from, arrivals, counted));
+            drop(local);
+            clients.recorder.flush();
+            let tally = clients.tally.borrow().clone();
+            tally
+        };
+        let thread = std::thread::Builder::new().name("load".into()).spawn(run)?;
+        Ok(Load { progress, thread })
+    }
+
+    /// Whether every request has ended.
+    pub fn over(&self) -> bool {
+        self.thread.is_finished()
+    }
+
+    /// Waits for the end and returns what was counted.
+    pub fn finish(self) -> Tally {
+        self.thread.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+    }
+}
+
+/// Releases each arrival when it is due. A thread of its own, since a runtime's timers are good to a millisecond only.
+fn pace(day: &Day, clock: Clock, from: Nanos, progress: &Progress, released: &mpsc::Sender<Arrival>) {
+    for mut arrival in Plan::new(day) {
+        arrival.due += from;
+        let wait = arrival.due.saturating_sub(clock.now());
+        if wait > 0 {
+            std::thread::sleep(Duration::from_nanos(wait));
+        }
+        if progress.stop.load(Ordering::Relaxed) || released.blocking_send(arrival).is_err() {
+            return;
+        }
+        progress.released.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+async fn release(
+    clients: Rc<Clients>,
+    from: Nanos,
+    mut arrivals: mpsc::Receiver<Arrival>,
+    progress: Arc<Progress>,
+) {
+    let flushing = clients.clone();
+    tokio::task::spawn_local(async move {
+        loop {
+            sleep(Duration::from_millis(50)).await;
+            flushing.recorder.flush();
+        }
+    });
+    for _ in 0..clients.day.load.rude.idle {
+        tokio::task::spawn_local(idle(clients.clone()));
+    }
+    while let Some(arrival) = arrivals.recv().await {
+        if clients.out.get() >= OUT_MOST {
+            clients.tally.borrow_mut().not_sent += 1;
+            continue;
+        }
+        let (clients, progress) = (clients.clone(), progress.clone());
+        tokio::task::spawn_local(async move {
+            clients.request(arrival).await;
+            progress.ended.fetch_add(1, Ordering::Relaxed);
+        });
+    }
+    // Retries may take their class's whole time; nothing takes longer than that and the slow clients' grace.
+    let longest = clients.day.load.classes.iter().map(|c| nanos(c.give_up)).max().unwrap_or(0);
+    let end = clients.clock.now().max(from + nanos(clients.day.length)) + 2 * longest + 5 * SECOND;
+    while clients.out.get() > 0 && clients.clock.now() < end {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// A connection that is opened and never used, and opened again when the proxy has closed it.
+async fn idle(clients: Rc<Clients>) {
+    loop {
+        let (_, addr) = clients.front.deal();
+        if let Ok(mut stream) = TcpStream::connect(addr).await {
+            let mut byte = [0; 64];
+            // Whatever comes, an error among it, is read to the end of the connection.
+            while stream.read(&mut byte).await.is_ok_and(|n| n > 0) {}
+            clients.tally.borrow_mut().idle_closed += 1;
+        }
+        sleep(IDLE_AGAIN).await;
+    }
+}
--- /dev/null
+++ b/crates/lab/src/load/plan.rs
@@ -0,0 +1,174 @@
+//! Arrivals, drawn ahead by the day's seed: they do not wait for answers, and no answer changes them.
+
+use crate::clock::{mix, nanos, part, Nanos};
+use crate::day::{Day, Rude};
+use crate::world::Catalogue;
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp1};
+
+/// How a client behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Manner {
+    /// As it should.
+    Plain,
+    /// It reads slowly.
+    ReadsSlowly,
+    /// It writes its request in pieces.
+    WritesSlowly,
+    /// It leaves in the midst of its request.
+    LeavesAsking,
+    /// It leaves before its answer.
+    LeavesWaiting,
+}
+
+/// A client's first try.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Its number, from 0.
+    pub number: u64,
+    /// When it is due.
+    pub due: Nanos,
+    /// Its class, as the day numbers them.
+    pub class: usize,
+    /// Its tenant.
+    pub tenant: usize,
+    /// The key that it asks for.
+    pub key: u64,
+    /// The length of its body, in bytes.
+    pub body: usize,
+    /// How its client behaves.
+    pub manner: Manner,
+    /// Its client heeds `Retry-After`.
+    pub heeds: bool,
+}
+
+/// All arrivals of a day, in order.
+pub struct Plan {
+    day: Day,
+    catalogue: Catalogue,
+    rng: Xoshiro256PlusPlus,
+    number: u64,
+    at: f64,
+}
+
+impl Plan {
+    /// The plan of a day.
+    pub fn new(day: &Day) -> Self {
+        let rng = Xoshiro256PlusPlus::seed_from_u64(mix(day.seed, 0x10ad, 0));
+        Plan { day: day.clone(), catalogue: Catalogue::new(day), rng, number: 0, at: 0.0 }
+    }
+
+    /// The rate at a time, in arrivals a nanosecond.
+    fn rate(&self, at: f64) -> f64 {
+        let load = &self.day.load;
+        let turn = at / nanos(load.period) as f64 * std::f64::consts::TAU;
+        load.rate * (1.0 + load.swing * turn.sin()) / 1e9
+    }
+}
+
+/// Draws an index by its weight.
+fn weighted(mut drawn: f64, weights: impl Iterator<Item = f64>) -> usize {
+    let mut last = 0;
+    for (n, weight) in weights.enumerate() {
+        last = n;
+        drawn -= weight;
+        if drawn < 0.0 {
+            break;
+        }
+    }
+    last
+}
+
+fn manner(drawn: f64, rude: &Rude) -> Manner {
+    let parts = [
+        (rude.slow_readers, Manner::ReadsSlowly),
+        (rude.slow_writers, Manner::WritesSlowly),
+        (rude.leave_asking, Manner::LeavesAsking),
+        (rude.leave_waiting, Manner::LeavesWaiting),
+    ];
+    let mut left = drawn;
+    for (part, manner) in parts {
+        left -= part;
+        if left < 0.0 {
+            return manner;
+        }
+    }
+    Manner::Plain
+}
+
+impl Iterator for Plan {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        // Thinning: candidates come at the highest rate, and each is kept by the rate of its time.
+        let most = self.day.load.rate * (1.0 + self.day.load.swing) / 1e9;
+        loop {
+            let gap: f64 = Exp1.sample(&mut self.rng);
+            self.at += gap / most;
+            if self.at >= nanos(self.day.length) as f64 {
+                return None;
+            }
+            if self.rng.random::<f64>() * most <= self.rate(self.at) {
+                break;
+            }
+        }
+        let load = &self.day.load;
+        let class = weighted(self.rng.random(), load.classes.iter().map(|c| c.share));
+        let usage: f64 = load.tenants.iter().map(|t| t.share * t.usage).sum();
+        let tenant =
+            weighted(self.rng.random::<f64>() * usage, load.tenants.iter().map(|t| t.share * t.usage));
+        let body = load.classes[class].body_bytes as f64 * self.rng.random_range(0.5..1.5);
+        let arrival = Arrival {
+            number: self.number,
+            due: self.at as Nanos,
+            class,
+            tenant,
+            key: self.catalogue.draw(&mut self.rng),
+            body: body as usize,
+            manner: manner(self.rng.random(), &load.rude),
+            heeds: self.rng.random_bool(load.retries.heed),
+        };
+        self.number += 1;
+        Some(arrival)
+    }
+}
+
+/// The id of a try, unlike that of any other try of the day.
+pub fn request_id(day: &Day, arrival: &Arrival, try_number: u32) -> u64 {
+    mix(day.seed ^ 0x1d5, arrival.number, u64::from(try_number))
+}
+
+/// A draw of a try, in [0, 1), that depends on nothing else.
+pub fn draw(day: &Day, arrival: &Arrival, try_number: u32) -> f64 {
+    part(mix(day.seed ^ 0xd4a3, arrival.number, u64::from(try_number)))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_day_is_planned_twice_the_same_and_otherwise_by_another_seed() {
+        let mut day = Day::open("silence").expect("built in");
+        let first: Vec<Arrival> = Plan::new(&day).collect();
+        assert_eq!(first, Plan::new(&day).collect::<Vec<_>>());
+        day.seed += 1;
+        assert_ne!(first, Plan::new(&day).collect::<Vec<_>>());
+    }
+
+    #[test]
+    fn a_plan_has_the_rate_the_classes_and_the_tenants_of_its_day() {
+        let day = Day::open("quiet").expect("built in");
+        let plan: Vec<Arrival> = Plan::new(&day).collect();
+        let wanted = day.load.rate * day.length.as_secs_f64();
+        assert!((plan.len() as f64 / wanted - 1.0).abs() < 0.05, "{} of {wanted}", plan.len());
+        for (n, tenant) in day.load.tenants.iter().enumerate() {
+            let part = plan.iter().filter(|a| a.tenant == n).count() as f64 / plan.len() as f64;
+            assert!((part - tenant.share).abs() < 0.03, "{part} for {}", tenant.name);
+        }
+        let lookups = plan.iter().filter(|a| a.class == 0).count() as f64 / plan.len() as f64;
+        assert!((lookups - 0.93).abs() < 0.02, "{lookups}");
+        assert!(plan.windows(2).all(|w| w[0].due <= w[1].due));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/trial/usage.rs
@@ -0,0 +1,51 @@
+//! What a process uses, as the kernel tells it under `/proc`.
+
+use serde::Serialize;
+use std::fs;
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Usage {
+    /// Time on a core, in seconds, over all threads that live.
+    pub cpu_s: f64,
+    /// The most memory resident at once, in MB.
+    pub memory_mb: f64,
+    /// The most descriptors seen at once.
+    pub descriptors: usize,
+}
+
+impl Usage {
+    /// Looks at a process; none: there is no such process any more.
+    pub fn look(pid: u32) -> Option<Usage> {
+        let tasks = fs::read_dir(format!("/proc/{pid}/task")).ok()?;
+        let on_core = |task: fs::DirEntry| {
+            let text = fs::read_to_string(task.path().join("schedstat")).ok()?;
+            text.split(' ').next()?.parse::<f64>().ok()
+        };
+        let cpu_ns: f64 = tasks.filter_map(|t| on_core(t.ok()?)).sum();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:"))?;
+        let peak_kb: f64 = peak.trim().split(' ').next()?.parse().ok()?;
+        let descriptors = fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count();
+        Some(Usage { cpu_s: cpu_ns / 1e9, memory_mb: peak_kb / 1024.0, descriptors })
+    }
+
+    /// Takes a later look at the same process in.
+    pub fn update(&mut self, later: Usage) {
+        self.cpu_s = self.cpu_s.max(later.cpu_s);
+        self.memory_mb = self.memory_mb.max(later.memory_mb);
+        self.descriptors = self.descriptors.max(later.descriptors);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn this_process_uses_something_and_one_that_is_not_there_nothing() {
+        let usage = Usage::look(std::process::id()).expect("this process");
+        assert!(usage.memory_mb > 0.5 && usage.descriptors > 2, "{usage:?}");
+        assert_eq!(Usage::look(u32::MAX - 1), None);
+    }
+}
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -181,7 +181,8 @@
 }
 
 impl World {
-    /// The site as it stands when the day begins: every node up and warm, holding what was asked for lately.
+    /// The site as it stands when the day begins: every node up and warm, holding what was asked for lately. Nothing goes wrong
+    /// before [`World::begin`].
     pub fn new(day: &Day, catalogue: &Catalogue) -> Self {
         let cache = &day.site.cache;
         let mut world = World {
@@ -212,12 +213,16 @@
         }
         let ledger = world.ledger();
         world.members.push(ledger);
-        for n in 0..world.strokes.len() {
-            world.at(world.strokes[n].0, Inner::Stroke(n));
-        }
         world
     }
 
+    /// The day begins: troubles strike at their times from here on.
+    pub fn begin(&mut self, now: Nanos) {
+        for n in 0..self.strokes.len() {
+            self.at(now + self.strokes[n].0, Inner::Stroke(n));
+        }
+    }
+
     fn room(&self) -> u64 {
         (self.day.site.cache.memory * self.day.load.keys as f64).ceil() as u64
     }
--- a/crates/lab/src/world/tests.rs
+++ b/crates/lab/src/world/tests.rs
@@ -14,7 +14,9 @@
         let mut day = Day::open("quiet").expect("built in");
         day.site.cache.errors = 0.0;
         change(&mut day);
-        Driver { world: World::new(&day, &Catalogue::new(&day)), now: 0, ticket: 0 }
+        let mut world = World::new(&day, &Catalogue::new(&day));
+        world.begin(0);
+        Driver { world, now: 0, ticket: 0 }
     }
 
     fn ask(
