--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -142,7 +142,9 @@
 
 /// Does what the command line asks.
 pub fn run() -> ExitCode {
-    let done = match Cli::parse().command {
+    let command = Cli::parse().command;
+    trial::raise_descriptors();
+    let done = match command {
         Command::Try(args) => try_day(&args),
         Command::Compare(args) => compare(&args),
         Command::Site(args) => stand(&args),
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -46,7 +46,18 @@
     runtime.block_on(play(day, subject, options))
 }
 
+/// Takes as many descriptors as the system lets a process have: clients and nodes of a day may need thousands.
+pub fn raise_descriptors() {
+    use nix::sys::resource::{getrlimit, setrlimit, Resource};
+    if let Ok((soft, hard)) = getrlimit(Resource::RLIMIT_NOFILE) {
+        if soft < hard && setrlimit(Resource::RLIMIT_NOFILE, hard, hard).is_err() {
+            tracing::warn!("{soft} descriptors are all that this process may have");
+        }
+    }
+}
+
 async fn play(day: &Day, subject: &dyn Subject, options: &Options<'_>) -> Result<Report, String> {
+    raise_descriptors();
     let clock = Clock::start();
     let (out, auditor) = audit::start(day);
     let (site_out, load_out, own_out) = (out.clone(), out.clone(), out);
--- /dev/null
+++ b/crates/lab/tests/audit.rs
@@ -0,0 +1,170 @@
+//! The auditor can fail a proxy: for each rule one that breaks it on purpose is caught, and for that rule alone; one
+//! that breaks none is found clean.
+
+#[path = "broken/proxy.rs"]
+mod proxy;
+
+use aniseyoke_lab::audit::Rule;
+use aniseyoke_lab::day::Day;
+use aniseyoke_lab::trial::{run, Options, Report};
+use proxy::Fault;
+
+/// A short day of a small site.
+const DAY: &str = r#"
+name = "short"
+about = "A few seconds for proxies that break a rule."
+length = "3s"
+seed = 5
+
+[site.proxy]
+count = 1
+
+[site.cache]
+count = 4
+memory = 0.5
+kinds = [{ name = "std", share = 1.0, speed = 1.0 }]
+
+[site.ledger]
+cores = 4
+repeats = "500ms"
+
+[site.roster]
+lag_least = "20ms"
+lag_most = "50ms"
+
+[load]
+rate = 120
+keys = 500
+zipf = 1.0
+retries = { most = 0 }
+classes = [
+    { name = "track-lookup", share = 0.8, effect = "safe", work = "4ms", aim = "600ms", give_up = "1500ms", worth = 2 },
+    { name = "cod-settle", share = 0.1, effect = "unsafe", write = true, work = "4ms", aim = "800ms", give_up = "1500ms", worth = 10, body_bytes = 100 },
+    { name = "scan-event", share = 0.1, effect = "keyed", write = true, work = "4ms", aim = "1s", give_up = "1500ms", worth = 2, body_bytes = 100 },
+]
+tenants = [{ name = "hanbit-main", share = 1.0 }]
+"#;
+
+fn day(change: impl FnOnce(String) -> String) -> Day {
+    Day::parse("short", &change(DAY.to_owned())).unwrap_or_else(|e| panic!("{e}"))
+}
+
+fn play(day: &Day, fault: Fault) -> Report {
+    let report = run(day, &fault, &Options::default()).expect("played");
+    assert_eq!(report.void, None, "{}", report.text());
+    assert!(report.all.requests > 100, "{}", report.text());
+    report
+}
+
+/// The rules that were broken.
+fn broken(report: &Report) -> Vec<Rule> {
+    report.audit.broken.keys().copied().collect()
+}
+
+fn caught(fault: Fault, rule: Rule) {
+    let report = play(&day(|text| text), fault);
+    assert_eq!(broken(&report), [rule], "{}", report.text());
+    let violation = &report.audit.violations[0];
+    assert!(!violation.history.is_empty() && !violation.what.is_empty());
+}
+
+/// Everything that goes wrong with the small site, one node at a time.
+fn with_deploy(text: String) -> String {
+    text + "\n[[trouble]]\nkind = \"deploy\"\nat = \"300ms\"\nfor = \"4s\"\nnodes = [1]\n"
+}
+
+fn with_crash(text: String) -> String {
+    text + "\n[[trouble]]\nkind = \"crash\"\nat = \"300ms\"\nfor = \"500ms\"\nnodes = [1]\n"
+}
+
+#[test]
+fn a_proxy_that_breaks_no_rule_is_found_clean() {
+    let report = play(&day(|t| with_deploy(t).replace("length = \"3s\"", "length = \"6s\"")), Fault::None);
+    assert_eq!(broken(&report), [], "{}", report.text());
+    assert!(report.good());
+}
+
+#[test]
+fn a_lost_answer_is_caught() {
+    // A client takes a close without a byte for one that crossed its request, and sends that once more: what must not
+    // run twice may then have.
+    let report = play(&day(|text| text), Fault::Drops);
+    assert!(
+        broken(&report) == [Rule::Lost] || broken(&report) == [Rule::Lost, Rule::RanTwice],
+        "{}",
+        report.text()
+    );
+}
+
+#[test]
+fn a_request_that_is_held_without_an_answer_is_caught() {
+    caught(Fault::Holds, Rule::Unanswered);
+}
+
+#[test]
+fn a_second_answer_is_caught() {
+    caught(Fault::Doubles, Rule::AnsweredTwice);
+}
+
+#[test]
+fn a_second_run_of_what_must_not_run_twice_is_caught() {
+    caught(Fault::RepeatsUnsafe, Rule::RanTwice);
+}
+
+#[test]
+fn a_repeat_after_its_mark_is_forgotten_is_caught() {
+    caught(Fault::RepeatsKeyed, Rule::KeyedTwice);
+}
+
+#[test]
+fn a_changed_answer_is_caught() {
+    caught(Fault::Changes, Rule::ForeignAnswer);
+}
+
+#[test]
+fn an_invented_request_is_caught() {
+    caught(Fault::Invents, Rule::ForeignRequest);
+}
+
+#[test]
+fn what_is_sent_to_a_draining_node_is_caught() {
+    let day = day(|text| with_deploy(text).replace("length = \"3s\"", "length = \"5s\""));
+    let report = play(&day, Fault::IgnoresDrains);
+    assert_eq!(broken(&report), [Rule::Drain], "{}", report.text());
+}
+
+#[test]
+fn a_cold_node_that_is_pushed_over_is_caught() {
+    let day = day(|text| {
+        with_crash(text)
+            .replace(
+                "memory = 0.5",
+                "memory = 0.5\ncold_from = 0.1\ncold = \"10s\"\nfall = \"1s\"\nmiss_work = 1.0",
+            )
+            .replace("rate = 120", "rate = 250")
+    });
+    let report = play(&day, Fault::HerdsToCold);
+    assert_eq!(broken(&report), [Rule::ColdFall], "{}", report.text());
+}
+
+#[test]
+fn a_ledger_that_misses_at_a_cold_node_push_over_is_caught() {
+    let day = day(|text| {
+        with_crash(text)
+            .replace("cores = 4", "cores = 0.5\nstop_after = \"1s\"\nroom = 100000\nslots = 500")
+            .replace("memory = 0.5", "memory = 0.5\ncold = \"10s\"\nfall_multiple = 1000.0")
+            .replace("name = \"cod-settle\", share = 0.1", "name = \"cod-settle\", share = 0.01")
+            .replace("name = \"scan-event\", share = 0.1", "name = \"scan-event\", share = 0.01")
+            .replace("share = 0.8", "share = 0.98")
+    });
+    let report = play(&day, Fault::HerdsToLedger);
+    assert!(broken(&report).contains(&Rule::LedgerStop), "{}", report.text());
+}
+
+#[test]
+fn a_proxy_that_ends_by_itself_is_caught_with_its_last_lines() {
+    let report = play(&day(|text| text), Fault::Ends);
+    assert!(broken(&report).contains(&Rule::Crash), "{}", report.text());
+    assert!(report.crashes[0].contains("the last line"), "{:?}", report.crashes);
+    assert!(!report.good());
+}
--- /dev/null
+++ b/crates/lab/tests/days.rs
@@ -0,0 +1,98 @@
+//! The real proxy, as a child, through shortened days: no rule is broken, and the verdict is the same each time.
+
+use aniseyoke_lab::day::Day;
+use aniseyoke_lab::trial::{find_proxy, run, Options, Program, Report};
+use std::path::PathBuf;
+use std::sync::{Mutex, MutexGuard};
+
+/// One day at a time: a day wants most of the machine.
+fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+fn proxy() -> Program {
+    Program { path: find_proxy(None).expect("the proxy"), args: Vec::new() }
+}
+
+fn play(day: &Day) -> Report {
+    let report = run(day, &proxy(), &Options::default()).expect("played");
+    assert!(report.good(), "{}", report.text());
+    report
+}
+
+fn shortened(name: &str, part: f64) -> Report {
+    let _alone = alone();
+    let day = Day::open(name).expect("built in").squeezed(part);
+    play(&day)
+}
+
+#[test]
+fn quiet() {
+    let report = shortened("quiet", 0.2);
+    assert!(report.all.goodput > 0.98, "{}", report.text());
+}
+
+#[test]
+fn deploy_twice_with_the_same_verdict() {
+    for _ in 0..2 {
+        let report = shortened("deploy", 0.35);
+        assert!(report.all.goodput > 0.8, "{}", report.text());
+    }
+}
+
+#[test]
+fn silence() {
+    let report = shortened("silence", 0.3);
+    assert!(report.all.goodput > 0.8, "{}", report.text());
+    assert!(report.all.outcomes.contains_key("left"), "some clients leave: {}", report.text());
+}
+
+#[test]
+fn ledger() {
+    shortened("ledger", 0.35);
+}
+
+#[test]
+fn chuseok() {
+    let report = shortened("chuseok", 0.3);
+    assert!(report.all.goodput > 0.7, "{}", report.text());
+}
+
+/// Danger: silent connections must not keep those out that ask.
+#[test]
+fn a_thousand_hanging_connections() {
+    let _alone = alone();
+    let mut day = Day::open("quiet").expect("built in").squeezed(0.25);
+    day.load.rude.idle = 1000;
+    let report = play(&day);
+    assert!(report.all.goodput > 0.95, "{}", report.text());
+    assert!(
+        report.proxies.iter().all(|p| p.descriptors > 200),
+        "the connections did hang: {}",
+        report.text()
+    );
+}
+
+#[test]
+fn two_trials_side_by_side_do_not_meet() {
+    let _alone = alone();
+    let mut day = Day::open("quiet").expect("built in").squeezed(0.15);
+    day.load.rate = 80.0;
+    std::thread::scope(|scope| {
+        let other = scope.spawn(|| play(&day));
+        play(&day);
+        other.join().expect("played");
+    });
+}
+
+#[test]
+fn a_program_that_does_not_start_is_reported_with_its_last_lines() {
+    let day = Day::open("quiet").expect("built in");
+    let program = Program {
+        path: PathBuf::from("/bin/sh"),
+        args: vec!["-c".into(), "echo no such luck >&2; exit 3".into()],
+    };
+    let why = run(&day, &program, &Options::default()).expect_err("no trial");
+    assert!(why.contains("no such luck") && why.contains('3'), "{why}");
+}
