--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -10,7 +10,7 @@
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -30,6 +30,8 @@
     Try(Try),
     /// Play a day before the proxy and before a bare pass-through in turn, and compare what they cost.
     Compare(Compare),
+    /// Play a day at several multiples of its rate, before one or more builds, and plot goodput against load.
+    Sweep(Sweep),
     /// Open a site and keep it until Ctrl-C; a configuration for each proxy is written.
     Site(Stand),
     /// Send a day's load to proxies, or to anything that speaks the platform's protocol.
@@ -103,6 +105,24 @@
     pairs: usize,
 }
 
+#[derive(Args)]
+struct Sweep {
+    #[command(flatten)]
+    which: Which,
+    /// Programs to try, NAME=FILE each; otherwise the one beside this, as for `try`.
+    #[arg(long)]
+    build: Vec<String>,
+    /// Multiples of the day's rate.
+    #[arg(long, value_delimiter = ',', default_value = "0.5,1,1.5,2,3,4")]
+    times: Vec<f64>,
+    /// Where the plot goes.
+    #[arg(long)]
+    svg: Option<PathBuf>,
+    /// Keep the figures as JSON in this file.
+    #[arg(long)]
+    json: Option<PathBuf>,
+}
+
 #[derive(Args)]
 struct Stand {
     #[command(flatten)]
@@ -147,6 +167,7 @@
     let done = match command {
         Command::Try(args) => try_day(&args),
         Command::Compare(args) => compare(&args),
+        Command::Sweep(args) => sweep(&args),
         Command::Site(args) => stand(&args),
         Command::Load(args) => send(&args),
         Command::Day(command) => days(&command),
@@ -196,13 +217,59 @@
     let subject = Program { path: find_proxy(args.proxy.clone())?, args: Vec::new() };
     let report = play(&day, &subject, &until_interrupted())?;
     print!("{}", report.text());
-    if let Some(file) = &args.json {
-        let text = serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?;
-        std::fs::write(file, text + "\n").map_err(|e| format!("{}: {e}", file.display()))?;
-    }
+    keep(&report, args.json.as_deref())?;
     Ok(report.good())
 }
 
+/// Keeps figures as JSON, if a file is named.
+fn keep(figures: &impl serde::Serialize, file: Option<&Path>) -> Result<(), String> {
+    let Some(file) = file else { return Ok(()) };
+    let text = serde_json::to_string_pretty(figures).map_err(|e| e.to_string())?;
+    std::fs::write(file, text + "\n").map_err(|e| format!("{}: {e}", file.display()))
+}
+
+fn sweep(args: &Sweep) -> Result<bool, String> {
+    let day = args.which.open()?;
+    if args.times.iter().any(|t| !(*t > 0.0 && t * day.load.rate <= 200_000.0)) {
+        return Err("--times: each is above 0, and at most 200,000 requests a second in all".into());
+    }
+    let mut builds = Vec::new();
+    for build in &args.build {
+        let (name, file) = build.split_once('=').ok_or(format!("--build {build}: it is NAME=FILE"))?;
+        builds.push((name.to_owned(), find_proxy(Some(file.into()))?));
+    }
+    if builds.is_empty() {
+        builds.push(("aniseyoke".to_owned(), find_proxy(None)?));
+    }
+    let stop = until_interrupted();
+    let mut curves = Vec::new();
+    for (name, path) in builds {
+        let subject = Program { path, args: Vec::new() };
+        let options = Options { stop: stop.clone(), progress: None };
+        curves.push(trial::sweep(&name, &day, &subject, &args.times, &options)?);
+    }
+    println!("day {}, {} requests a second at 1 time", day.name, day.load.rate);
+    for curve in &curves {
+        println!(
+            "\n{:<10}{:>8}{:>10}{:>10}{:>10}{:>10}",
+            curve.name, "times", "offered", "good", "refused", "p99 ms"
+        );
+        for p in &curve.points {
+            let audit = if p.clean { "" } else { "  RULES BROKEN" };
+            println!(
+                "{:<10}{:>8.2}{:>10.0}{:>10.0}{:>10.3}{:>10.0}{audit}",
+                "", p.times, p.offered, p.good, p.refused, p.p99_ms
+            );
+        }
+        println!("peak {:.0} a second; {:.1}% of it held beyond", curve.peak(), curve.held() * 100.0);
+    }
+    if let Some(svg) = &args.svg {
+        trial::plot(&format!("Goodput against load, day {}", day.name), &curves, svg)?;
+    }
+    keep(&curves, args.json.as_deref())?;
+    Ok(curves.iter().all(|c| c.points.iter().all(|p| p.clean)))
+}
+
 fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values.get(values.len() / 2).copied().unwrap_or(f64::NAN)
--- a/crates/lab/src/day/mod.rs
+++ b/crates/lab/src/day/mod.rs
@@ -10,7 +10,7 @@
 pub use builtin::{builtin, BUILTIN};
 pub use settings::{proxy_config, Member};
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::path::Path;
 use std::time::Duration;
@@ -398,7 +398,7 @@
 }
 
 /// The kinds of troubles.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, Hash)]
 #[serde(rename_all = "kebab-case")]
 pub enum TroubleKind {
     /// Processes die and come back cold at the end.
--- a/crates/lab/src/load/client.rs
+++ b/crates/lab/src/load/client.rs
@@ -44,6 +44,8 @@
 pub struct Clients {
     pub day: Day,
     pub clock: Clock,
+    /// When the load began.
+    from: Nanos,
     pub front: Arc<Front>,
     pub recorder: Recorder,
     pub tally: RefCell<Tally>,
@@ -64,10 +66,11 @@
 }
 
 impl Clients {
-    /// Clients of a day that reach the proxies through `front`, over at most so many connections at once.
+    /// Clients of a day that begins at `from` and that reach the proxies through `front`, over at most so many connections at once.
     pub fn new(
         day: &Day,
         clock: Clock,
+        from: Nanos,
         front: Arc<Front>,
         recorder: Recorder,
         connections: usize,
@@ -75,6 +78,7 @@
         Rc::new(Clients {
             day: day.clone(),
             clock,
+            from,
             front,
             recorder,
             tally: RefCell::new(Tally::new(day)),
@@ -113,7 +117,8 @@
             sleep(wait).await;
         }
         let latency = self.clock.now().saturating_sub(arrival.due);
-        self.tally.borrow_mut().add(arrival.class, arrival.tenant, outcome, latency, class.worth);
+        let since = arrival.due - self.from;
+        self.tally.borrow_mut().add(arrival.class, arrival.tenant, outcome, since, latency, class.worth);
         self.out.set(self.out.get() - 1);
     }
 
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -69,7 +69,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let (day, counted) = (day.clone(), progress.clone());
         let run = move || {
-            let clients = Clients::new(&day, clock, front, recorder(), connections);
+            let clients = Clients::new(&day, clock, from, front, recorder(), connections);
             let local = tokio::task::LocalSet::new();
             local.block_on(&runtime, release(clients.clone(), from, arrivals, counted));
             drop(local);
--- a/crates/lab/src/load/tally.rs
+++ b/crates/lab/src/load/tally.rs
@@ -1,6 +1,6 @@
 //! What the clients counted: outcomes and latencies by class and tenant, and the load tool's own error.
 
-use crate::clock::Nanos;
+use crate::clock::{Nanos, SECOND};
 use crate::day::Day;
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -108,6 +108,8 @@
     pub tenants: Vec<Row>,
     /// How much later than due a first try's first byte was written, in microseconds.
     pub lateness: Histogram<u64>,
+    /// By the second in which they were due: worth answered within its aim, and worth asked for.
+    pub seconds: Vec<(f64, f64)>,
     /// Tries, first ones and retries.
     pub tries: u64,
     /// Arrivals that were not sent because too many were out. A trial with any is void.
@@ -124,14 +126,30 @@
             classes: day.load.classes.iter().map(|c| Row::new(&c.name)).collect(),
             tenants: day.load.tenants.iter().map(|t| Row::new(&t.name)).collect(),
             lateness: latencies(),
+            // One more for what is due at the very end.
+            seconds: vec![(0.0, 0.0); day.length.as_secs() as usize + 1],
             tries: 0,
             not_sent: 0,
             idle_closed: 0,
         }
     }
 
-    /// Counts a request that has ended.
-    pub fn add(&mut self, class: usize, tenant: usize, outcome: Outcome, latency: Nanos, worth: f64) {
+    /// Counts a request that has ended; `since` is when it was due, from the start of the load.
+    pub fn add(
+        &mut self,
+        class: usize,
+        tenant: usize,
+        outcome: Outcome,
+        since: Nanos,
+        latency: Nanos,
+        worth: f64,
+    ) {
+        if let Some(second) =
+            self.seconds.get_mut((since / SECOND) as usize).filter(|_| outcome != Outcome::Left)
+        {
+            second.0 += if outcome == Outcome::Served { worth } else { 0.0 };
+            second.1 += worth;
+        }
         self.all.add(outcome, latency, worth);
         self.classes[class].add(outcome, latency, worth);
         self.tenants[tenant].add(outcome, latency, worth);
@@ -146,11 +164,12 @@
     fn only_what_is_served_in_time_counts_as_good_and_who_leaves_counts_for_nothing() {
         let day = Day::open("quiet").expect("built in");
         let mut tally = Tally::new(&day);
-        tally.add(0, 0, Outcome::Served, 5_000_000, 2.0);
-        tally.add(0, 1, Outcome::Late, 9_000_000, 2.0);
-        tally.add(1, 0, Outcome::Left, 1_000_000, 10.0);
+        tally.add(0, 0, Outcome::Served, 0, 5_000_000, 2.0);
+        tally.add(0, 1, Outcome::Late, SECOND, 9_000_000, 2.0);
+        tally.add(1, 0, Outcome::Left, SECOND, 1_000_000, 10.0);
         assert_eq!((tally.all.goodput(), tally.all.requests()), (0.5, 3));
         assert_eq!((tally.tenants[0].goodput(), tally.tenants[1].goodput()), (1.0, 0.0));
+        assert_eq!(tally.seconds[..2], [(2.0, 2.0), (0.0, 2.0)]);
         assert_eq!(tally.classes[0].served.len(), 2);
         assert_eq!(tally.classes[1].count(Outcome::Left), 1);
     }
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -2,12 +2,16 @@
 //! everything is looked at, and all of it ends.
 
 mod proxies;
+mod recovery;
 mod report;
 mod subject;
+mod sweep;
 mod usage;
 
+pub use recovery::Recovery;
 pub use report::{Line, Percentiles, Report};
 pub use subject::{find_proxy, Program, Running, Subject};
+pub use sweep::{plot, sweep, Curve, Point};
 pub use usage::Usage;
 
 use crate::audit::{self, Evidence, Recorder, Seen};
@@ -128,6 +132,8 @@
         load_late: (&tally.lateness).into(),
         site_late: (&lateness).into(),
         idle_closed: tally.idle_closed,
+        recoveries: recovery::recoveries(day, &tally.seconds),
+        timeline: tally.seconds,
         audit: verdict,
         crashes,
         all,
--- a/crates/lab/src/trial/report.rs
+++ b/crates/lab/src/trial/report.rs
@@ -1,5 +1,6 @@
 //! What a trial has to report: as text for a reader, as JSON for a program.
 
+use super::recovery::Recovery;
 use super::usage::Usage;
 use crate::audit::Verdict;
 use crate::load::{Row, Tally, OUTCOMES};
@@ -91,6 +92,10 @@
     pub site_late: Percentiles,
     /// Idle connections that were closed by the proxies.
     pub idle_closed: u64,
+    /// Worth answered within its aim, and worth asked for, by the second in which it was due.
+    pub timeline: Vec<(f64, f64)>,
+    /// How long the site took to answer well again after each trouble had ended.
+    pub recoveries: Vec<Recovery>,
     /// What the auditor found.
     pub audit: Verdict,
     /// The last lines of proxies that ended by themselves.
@@ -161,6 +166,9 @@
         if self.idle_closed > 0 {
             writeln!(t, "{} idle connections were closed by the proxies", self.idle_closed)?;
         }
+        for recovery in &self.recoveries {
+            writeln!(t, "{recovery}")?;
+        }
         let a = &self.audit;
         writeln!(
             t,
--- /dev/null
+++ b/crates/lab/src/trial/sweep.rs
@@ -0,0 +1,160 @@
+//! Goodput against offered load: one day at several multiples of its rate, before one or more builds of the proxy.
+
+use super::report::Report;
+use super::{run, Options, Subject};
+use crate::day::Day;
+use plotters::prelude::*;
+use serde::Serialize;
+use std::path::Path;
+
+/// One trial of a sweep.
+#[derive(Clone, Debug, Serialize)]
+pub struct Point {
+    /// The multiple of the day's rate.
+    pub times: f64,
+    /// Worth asked for, a second.
+    pub offered: f64,
+    /// Worth answered within its aim, a second.
+    pub good: f64,
+    /// Part of the requests that ended refused.
+    pub refused: f64,
+    /// Latency of what was served at the 99th percentile, in milliseconds.
+    pub p99_ms: f64,
+    /// Whether the audit was clean.
+    pub clean: bool,
+}
+
+/// The trials of one build.
+#[derive(Clone, Debug, Serialize)]
+pub struct Curve {
+    /// What it is of.
+    pub name: String,
+    /// In the order of their multiples.
+    pub points: Vec<Point>,
+}
+
+impl Curve {
+    /// The highest worth a second that was answered in time.
+    pub fn peak(&self) -> f64 {
+        self.points.iter().map(|p| p.good).fold(0.0, f64::max)
+    }
+
+    /// The least part of the peak that is left at any load beyond the one of the peak.
+    pub fn held(&self) -> f64 {
+        let peak = self.peak();
+        let at = self.points.iter().position(|p| p.good == peak).unwrap_or(0);
+        self.points[at.min(self.points.len())..].iter().map(|p| p.good / peak).fold(1.0, f64::min)
+    }
+}
+
+fn point(times: f64, report: &Report) -> Result<Point, String> {
+    if let Some(why) = &report.void {
+        return Err(format!("the trial at {times} times is void: {why}"));
+    }
+    let (good, offered) =
+        report.timeline.iter().fold((0.0, 0.0), |(g, a), (good, asked)| (g + good, a + asked));
+    let refused = report.all.outcomes.get("refused").copied().unwrap_or(0) as f64;
+    Ok(Point {
+        times,
+        offered: offered / report.seconds,
+        good: good / report.seconds,
+        refused: refused / report.all.requests.max(1) as f64,
+        p99_ms: report.all.served.p99_ms,
+        clean: report.audit.clean() && report.crashes.is_empty(),
+    })
+}
+
+/// Plays a day at each multiple of its rate.
+///
+/// # Errors
+/// If a trial could not be played, or is void.
+pub fn sweep(
+    name: &str,
+    day: &Day,
+    subject: &dyn Subject,
+    times: &[f64],
+    options: &Options<'_>,
+) -> Result<Curve, String> {
+    let mut points = Vec::new();
+    for times in times {
+        let mut day = day.clone();
+        day.load.rate *= times;
+        points.push(point(*times, &run(&day, subject, options)?)?);
+    }
+    Ok(Curve { name: name.to_owned(), points })
+}
+
+/// Draws curves into an SVG file: worth answered in time against worth asked for, both a second.
+///
+/// # Errors
+/// If the file can't be written.
+pub fn plot(title: &str, curves: &[Curve], file: &Path) -> Result<(), String> {
+    let all = || curves.iter().flat_map(|c| &c.points);
+    let widest = all().map(|p| p.offered).fold(1.0, f64::max) * 1.05;
+    let highest = all().map(|p| p.good).fold(1.0, f64::max) * 1.15;
+    let draw = || -> Result<(), Box<dyn std::error::Error>> {
+        let root = SVGBackend::new(file, (720, 420)).into_drawing_area();
+        root.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&root)
+            .caption(title, ("sans-serif", 18))
+            .margin(12)
+            .x_label_area_size(40)
+            .y_label_area_size(60)
+            .build_cartesian_2d(0.0..widest, 0.0..highest)?;
+        chart
+            .configure_mesh()
+            .x_desc("worth asked for, a second")
+            .y_desc("worth answered in time, a second")
+            .draw()?;
+        for (n, curve) in curves.iter().enumerate() {
+            let colour = Palette99::pick(n).to_rgba();
+            let points = || curve.points.iter().map(|p| (p.offered, p.good));
+            chart
+                .draw_series(LineSeries::new(points(), colour.stroke_width(2)))?
+                .label(curve.name.clone())
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 18, y)], colour.stroke_width(2)));
+            chart.draw_series(points().map(|at| Circle::new(at, 3, colour.filled())))?;
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::LowerRight)
+            .background_style(WHITE.mix(0.8))
+            .border_style(BLACK)
+            .draw()?;
+        root.present()?;
+        Ok(())
+    };
+    draw().map_err(|e| format!("{}: {e}", file.display()))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn curve(good: &[f64]) -> Curve {
+        let point = |(n, good): (usize, &f64)| Point {
+            times: n as f64 + 1.0,
+            offered: 100.0 * (n as f64 + 1.0),
+            good: *good,
+            refused: 0.0,
+            p99_ms: 1.0,
+            clean: true,
+        };
+        Curve { name: "a build".into(), points: good.iter().enumerate().map(point).collect() }
+    }
+
+    #[test]
+    fn what_is_held_is_the_worst_beyond_the_peak_and_not_before_it() {
+        let curve = curve(&[50.0, 200.0, 180.0, 190.0]);
+        assert_eq!((curve.peak(), curve.held()), (200.0, 0.9));
+    }
+
+    #[test]
+    fn a_plot_is_an_svg_file_that_names_its_curves() {
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = folder.path().join("plot.svg");
+        plot("goodput", &[curve(&[1.0, 2.0]), curve(&[2.0, 1.0])], &file).expect("drawn");
+        let text = std::fs::read_to_string(file).expect("written");
+        assert!(text.starts_with("<svg") && text.contains("a build"));
+    }
+}
