Let admission recover as fast as its windows are clean, judged at the usual aim

A log of reasons showed why: the part of tries that is taken fell to 0.40 in one window and grew by a tenth per window, and a window lasted 3.75 s since it waits for the longest aim of any class, 2.5 s, though 93% of the requests have 0.6 s.

Change: windows are judged at the usual aim, weighted by what is answered; what is taken grows by up to 1.9 in place of 1.1 a window, by how clean it was; the advice to stay away is drawn from its upper half, so that those refused together do not return together.

--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -29,17 +29,20 @@
 const MEMORY_S: f64 = 16.0;
 /// Memory of what was served, in seconds.
 const SERVED_S: f64 = 2.0;
-/// Of the requests sent in a window, the part late past which less is taken: well over what a failed fifth of
-/// the servers makes late by itself, which refusing would not mend.
+/// The part late of a window past which less is taken: well over what a silent fifth of the servers makes.
 const LATE: f64 = 0.35;
 /// The part late or turned away past which work of little worth is refused; below half of it more is let in.
 const BUSY: f64 = 0.1;
+/// How much faster what is taken grows again while hardly anything is late. Danger: growing alike slowly in
+/// any case, one silence has half of all refused for a minute after it, with the servers idle.
+const REGAIN: f64 = 0.9;
+/// The part of a long advice to stay away that is drawn. Danger: those refused together return together.
+const APART: f64 = 0.5;
 /// Work worth less than this part of the usual for its time counts as being of little worth.
 const POOR: f64 = 0.5;
 /// Fewer requests than this say nothing against the servers; the window stays open for more, for a while.
 const ENDS: f64 = 8.0;
-/// The part of attempts that fail by chance, and the gain with which the true part is followed: slow enough
-/// that what a few silent servers still hold does not pass for the usual.
+/// The part of attempts that fail by chance, and the gain it is followed with: slower than silences end.
 const FAILING: f64 = 0.02;
 const FAILING_GAIN: f64 = 0.005;
 /// The most that a candidate may hold, in means, before it passes a request on; drawn for each between
@@ -59,8 +62,7 @@
 /// The part of fetches that may come late with the origin still well, and the gain with which it is followed.
 const ORIGIN_LATE: f64 = 0.1;
 const ORIGIN_GAIN: f64 = 0.1;
-/// The part of attempts without a connection past which open ones are preferred, and the gain with which it
-/// is followed.
+/// The part of attempts without a connection past which open ones are preferred, and its gain.
 const UNREACHED: f64 = 0.1;
 const UNREACHED_GAIN: f64 = 0.05;
 /// Odds of 400 to 1, as a logarithm: two failures in a row where hardly any attempt fails.
@@ -368,8 +370,7 @@
         }
     }
 
-    /// Closes what is idle at a draining server, where that is a rule: on every notice of the drain, and on
-    /// every outcome there, since its connection is idle from then on.
+    /// Closes what is idle at a draining server, where that is a rule: on each notice and outcome there.
     fn let_go(&self, server: ServerId, actions: &mut Vec<Action>) {
         let state = self.by_id.get(&server).map(|&i| self.servers[i as usize].entry.state);
         if self.settings.let_go > 0 && state == Some(State::Draining) {
@@ -487,8 +488,7 @@
         self.version += 1;
     }
 
-    /// Ranks the servers open to a bucket's classes by weighted rendezvous: the same at every proxy, whatever
-    /// lists it saw.
+    /// Ranks the servers open to a bucket's classes by weighted rendezvous: the same at every proxy.
     fn rank(&mut self, b: u32) {
         let mut bucket = self.buckets.remove(&b).unwrap_or_default();
         if bucket.version != self.version || bucket.ranked.is_empty() {
@@ -536,8 +536,7 @@
         found
     }
 
-    /// The order in which a bucket's candidates are asked: the winner, or while undecided the best window,
-    /// the hash order breaking ties so that proxies tend to the same winner.
+    /// The order to ask candidates in: the winner, else the best window, ties broken alike at all proxies.
     fn turn(&self, b: u32, candidates: &mut [u32]) {
         let Some(bucket) = self.buckets.get(&b) else { return };
         let merit = |i: u32| {
@@ -631,8 +630,7 @@
         (from + (1.0 - from) * age).min(1.0)
     }
 
-    /// A cold server enters a bucket once it is warmer than a hash of both says: all proxies admit it to the
-    /// same growing part of its buckets.
+    /// A cold server enters a bucket once it is warmer than a hash of both says, alike at all proxies.
     fn admitted(&self, now: Nanos, b: u32, s: &Server) -> bool {
         let warmth = self.warmth(now, s);
         !s.banned
@@ -705,8 +703,7 @@
 
     /// The server for the next attempt of a request.
     fn choose(&mut self, now: Nanos, open: &Open, spread: usize) -> Option<u32> {
-        // A proxy knows its own part alone, and one request of its own already out may be a heavy one that
-        // the next would wait for.
+        // One request of its own that is already out may be a heavy one that the next would wait for.
         let own = self.inflight / self.total_weight.max(1e-9);
         let most = own * (1.0 + (BUSIEST - 1.0) * self.chance());
         let b = open.bucket.unwrap_or_else(|| self.bucket(open.class, now ^ self.random));
@@ -1148,9 +1145,11 @@
         self.seen.get(class).cloned().unwrap_or_default()
     }
 
-    /// The longest aim: what a window's requests came to is known by then.
+    /// The usual aim: what most of a window's requests came to is known by then.
     fn settle(&self) -> Nanos {
-        self.settings.classes.iter().map(|c| c.aim).max().unwrap_or(SECOND).clamp(100 * MS, 4 * SECOND)
+        let each = self.settings.classes.iter().zip(&self.seen).map(|(c, s)| (c.aim as f64, s.count + 0.1));
+        let (sum, count) = each.fold((0.0, 1e-9), |(sum, n), (aim, count)| (sum + aim * count, n + count));
+        ((sum / count) as Nanos).clamp(100 * MS, 4 * SECOND)
     }
 
     /// Moves the parts of the tries that are taken, by what became of those of one window that were sent.
@@ -1187,12 +1186,13 @@
         }
         // A thin proxy's windows last long: what is let in again goes by time, or it would take minutes.
         let steps = (now.saturating_sub(w.from) as f64 / (1.5 * settle as f64)).clamp(1.0, 8.0);
+        let pace = |ill: f64| (1.1 + REGAIN * (1.0 - ill).max(0.0)).powf(steps);
         // By chance a few of a small window go wrong.
         let chance = 1.5 * (BUSY / w.ends.max(1.0)).sqrt();
         if busy > BUSY + chance {
             self.extra = (self.extra * 0.5).max(0.02);
         } else if busy < BUSY / 2.0 + chance {
-            self.extra = (self.extra * 1.1f64.powf(steps) + 0.01 * steps).min(1.0);
+            self.extra = (self.extra * pace(busy / (BUSY / 2.0 + chance)) + 0.01 * steps).min(1.0);
         }
         // To be turned away costs a handshake; where those have a price, hammering full servers is waste.
         let waste = if self.settings.handshake_price > 0.0 { 0.5 } else { 0.0 };
@@ -1200,7 +1200,7 @@
         if late > LATE {
             self.taken = (self.taken * (1.0 - late).max(0.1)).max(0.05);
         } else if late < LATE / 2.0 {
-            self.taken = (self.taken * 1.1f64.powf(steps) + 0.02 * steps).min(1.0);
+            self.taken = (self.taken * pace(late / (LATE / 2.0)) + 0.02 * steps).min(1.0);
         }
     }
 
@@ -1272,7 +1272,8 @@
         if harmless {
             // Advice to stay away while not all is taken, and else to come back soon.
             let busy = past || self.taken < 1.0 || self.extra < 1.0;
-            let wait = self.settings.max_retry_after.min(if busy { Nanos::MAX } else { SOON });
+            let most = self.settings.max_retry_after.min(if busy { Nanos::MAX } else { SOON });
+            let wait = (most as f64 * (1.0 - APART * self.chance())) as Nanos;
             actions.push(Action::Refuse { id, retry_after: wait });
         } else {
             actions.push(Action::Fail { id });
