--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -1007,3 +1007,65 @@
     let (_, actions) = p.ask(1);
     assert!(matches!(actions[..], [Action::Refuse { retry_after, .. }] if retry_after > 0), "{actions:?}");
 }
+
+/// A class that is nearly all of the traffic, and a slow one with a long aim beside it.
+fn quick_and_slow() -> Settings {
+    let quick = settings().classes[0].clone();
+    let slow = Class { aim: 2500 * MS, deadline: 6 * SECOND, ..quick.clone() };
+    Settings { classes: vec![quick, slow], ..settings() }
+}
+
+/// Requests every 5 ms for a time, each ended so; returns how many were taken and how many were asked.
+fn spell(p: &mut Proxy, length: Nanos, status: Status, after: Nanos) -> (u64, u64) {
+    let (mut taken, mut asked, end) = (0, 0, p.now + length);
+    while p.now < end {
+        p.now += 5 * MS;
+        asked += 1;
+        let (id, actions) = p.ask(asked * 7919);
+        if let Some(server) = sent(&actions) {
+            taken += 1;
+            p.end_after(id, 0, server, status, Some(true), after);
+        }
+    }
+    (taken, asked)
+}
+
+/// Danger: a bad spell that is over must not have half of all refused for half a minute after it, by servers that
+/// are idle; and a class that is hardly asked for must not set the pace by its long aim.
+#[test]
+fn all_is_taken_again_within_seconds_of_the_end_of_a_bad_spell() {
+    let mut p = Proxy::with(quick_and_slow(), entries(0..10));
+    spell(&mut p, 10 * SECOND, Status::Ok, 20 * MS);
+    spell(&mut p, 8 * SECOND, Status::Timeout, 300 * MS);
+    let (taken, asked) = spell(&mut p, SECOND, Status::Ok, 20 * MS);
+    assert!(taken < asked / 2, "{taken} of {asked}: the spell was bad enough to refuse");
+    spell(&mut p, 4 * SECOND, Status::Ok, 20 * MS);
+    let (taken, asked) = spell(&mut p, 2 * SECOND, Status::Ok, 20 * MS);
+    assert!(taken * 100 >= asked * 98, "{taken} of {asked} five seconds after the spell");
+}
+
+/// Danger: those that are refused together and told the same time return together, and are refused again.
+#[test]
+fn advice_to_stay_away_is_spread_over_its_upper_half() {
+    let mut p = Proxy::with(quick_and_slow(), entries(0..10));
+    spell(&mut p, 10 * SECOND, Status::Ok, 20 * MS);
+    spell(&mut p, 8 * SECOND, Status::Timeout, 300 * MS);
+    let mut advice = Vec::new();
+    for key in 0..400 {
+        p.now += MS;
+        let (_, actions) = p.ask(key * 7919);
+        advice.extend(actions.iter().filter_map(|a| match a {
+            Action::Refuse { retry_after, .. } => Some(*retry_after),
+            _ => None,
+        }));
+    }
+    let most = settings().max_retry_after;
+    assert!(advice.len() > 100, "{} refused", advice.len());
+    assert!(advice.iter().all(|a| (most / 2..=most).contains(a)));
+    let late = advice.iter().filter(|a| **a > most / 4 * 3).count() * 2;
+    assert!(
+        (advice.len() / 2..advice.len() * 3 / 2).contains(&late),
+        "{late} of {} in the later half",
+        advice.len()
+    );
+}
