--- a/crates/lab/src/day/check.rs
+++ b/crates/lab/src/day/check.rs
@@ -10,6 +10,8 @@
 const PROXIES_MOST: usize = 64;
 const KEYS_MOST: u64 = 10_000_000;
 const IDLE_MOST: usize = 8_192;
+const TROUBLES_MOST: usize = 256;
+const JOINED_MOST: usize = 3_000;
 const ANSWER_MOST: u64 = 32 << 20;
 
 struct Faults(Vec<String>);
@@ -49,6 +51,14 @@
     f.unless(!day.length.is_zero() && day.length <= LENGTH_MOST, "length", "must be above 0 and at most 1 h");
     machines(day, &mut f);
     clients(day, &mut f);
+    let deploys = day.troubles.iter().filter(|t| t.kind == TroubleKind::Deploy).count();
+    f.unless(
+        day.troubles.len() <= TROUBLES_MOST,
+        "trouble",
+        format_args!("there are more than {TROUBLES_MOST}"),
+    );
+    let joined = deploys.saturating_mul(day.site.cache.count);
+    f.unless(joined <= JOINED_MOST, "trouble", format_args!("deploys start more than {JOINED_MOST} nodes"));
     for (n, trouble) in day.troubles.iter().enumerate() {
         one_trouble(day, trouble, &format!("trouble.{n}"), &mut f);
     }
--- a/crates/lab/src/day/tests.rs
+++ b/crates/lab/src/day/tests.rs
@@ -54,6 +54,15 @@
     );
 }
 
+/// Danger: every node that a deploy starts needs an address of its own.
+#[test]
+fn more_deploys_than_a_site_has_addresses_for_are_refused() {
+    let deploy = "\n[[trouble]]\nkind = \"deploy\"\nat = \"1s\"\nfor = \"1s\"\npart = 1.0\n".repeat(301);
+    let faults = faults(&(QUIET.to_owned() + &deploy));
+    assert_eq!(faults.len(), 2, "{faults:?}");
+    assert!(faults.iter().all(|f| f.starts_with("trouble: ")), "{faults:?}");
+}
+
 #[test]
 fn a_day_that_is_nowhere_names_those_that_are() {
     let error = Day::open("no-such-day").expect_err("nowhere").to_string();
--- a/crates/lab/src/site/discovery.rs
+++ b/crates/lab/src/site/discovery.rs
@@ -63,7 +63,7 @@
 
 /// A list, or changes of one, in discovery's form.
 pub fn list(hall: &Hall, lines: &[Line], whole: bool) -> Value {
-    let servers: Vec<Value> = lines.iter().map(|line| hall.member(*line).json()).collect();
+    let servers: Vec<Value> = lines.iter().filter_map(|line| Some(hall.member(*line)?.json())).collect();
     json!({"version": hall.world.borrow().roster().version(), "full": whole, "servers": servers})
 }
 
--- a/crates/lab/src/site/hall.rs
+++ b/crates/lab/src/site/hall.rs
@@ -114,17 +114,17 @@
         self.play(|world, now, _| world.begin(now));
     }
 
-    /// A line of the list in discovery's form.
-    pub fn member(&self, line: Line) -> Member {
+    /// A line of the list in discovery's form; none for a member that no address could be had for.
+    pub fn member(&self, line: Line) -> Option<Member> {
         let world = self.world.borrow();
         let (id, kind) = world.name(line.member);
-        Member {
+        Some(Member {
             id: id.to_owned(),
-            addr: self.posts.borrow()[line.member].addr,
+            addr: self.posts.borrow().get(line.member)?.addr,
             kind: kind.to_owned(),
             state: line.standing.word(),
             started_ms: line.started.map_or(0, |at| self.clock.unix_ms(at)),
-        }
+        })
     }
 
     /// A number for a new attempt.
