--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -266,6 +266,13 @@
     Excluded(ServerId),
     /// Operators gave it back.
     Included(ServerId),
+    /// A server's room, as its limit has it now. None is told where nothing is limited.
+    Room {
+        /// Which server.
+        server: ServerId,
+        /// Attempts of this proxy that may be out there at once.
+        room: f64,
+    },
 }
 
 /// What the proxy is to do, in order.
--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -5,6 +5,9 @@
 #![warn(missing_docs)]
 
 pub mod api;
+mod follow;
 pub mod logic;
+mod numbers;
+mod roster;
 
 pub use logic::Balancer;
--- /dev/null
+++ b/crates/decision/src/roster.rs
@@ -0,0 +1,194 @@
+//! The table of servers: what the list and the operators say of each, and what is out at it. Which of them is asked
+//! is decided in `logic`.
+
+use crate::api::*;
+use crate::numbers::{mix, unit, Chance};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::sync::Arc;
+
+#[derive(Default)]
+pub struct Server {
+    pub entry: Entry,
+    pub inverse_weight: f64,
+    pub inflight: f64,
+    /// How surely it fails more than servers do on the whole: a sum of logarithms of odds.
+    pub evidence: f64,
+    pub suspect_until: Nanos,
+    pub backoff: Nanos,
+    pub tokens: f64,
+    pub tokens_at: Nanos,
+    /// When an attempt there last ended on an open connection; 0: no connection was to be had since.
+    pub reached_at: Nanos,
+    /// What may be out there at once, where that is limited.
+    pub room: Option<f64>,
+    /// Operators want nothing sent there. It keeps its place in the hash, so that its keys come home.
+    pub banned: bool,
+    /// When they gave it back; it may have been restarted meanwhile, whatever the list says.
+    pub back_at: Nanos,
+}
+
+impl Server {
+    pub fn ready(&self) -> bool {
+        self.entry.state == State::Ready && !self.banned
+    }
+}
+
+/// All servers of the list.
+pub struct Roster {
+    pub settings: Arc<Settings>,
+    by_id: FxHashMap<ServerId, u32>,
+    pub servers: Vec<Server>,
+    free: Vec<u32>,
+    /// Servers that operators took out, listed or not.
+    pub banned: FxHashSet<ServerId>,
+    /// Counts what changes the ranks.
+    pub version: u64,
+    pub total_weight: f64,
+    pub live: f64,
+    pub inflight: f64,
+}
+
+impl Roster {
+    pub fn new(settings: Arc<Settings>) -> Self {
+        let (by_id, banned) = (FxHashMap::default(), FxHashSet::default());
+        let (servers, free) = (Vec::new(), Vec::new());
+        Roster {
+            settings,
+            by_id,
+            servers,
+            free,
+            banned,
+            version: 0,
+            total_weight: 0.0,
+            live: 0.0,
+            inflight: 0.0,
+        }
+    }
+
+    pub fn at(&self, i: u32) -> &Server {
+        &self.servers[i as usize]
+    }
+
+    pub fn get(&self, server: ServerId) -> Option<&Server> {
+        self.by_id.get(&server).map(|&i| self.at(i))
+    }
+
+    pub fn get_mut(&mut self, server: ServerId) -> Option<&mut Server> {
+        self.by_id.get(&server).map(|&i| &mut self.servers[i as usize])
+    }
+
+    /// Takes news of the list; returns what was out at origins that are gone.
+    pub fn take(
+        &mut self,
+        now: Nanos,
+        kind: ListKind,
+        entries: Vec<Entry>,
+        chance: &mut Chance,
+        actions: &mut Vec<Action>,
+    ) -> f64 {
+        let mut out = 0.0;
+        if kind != ListKind::Delta {
+            let named: FxHashSet<ServerId> = entries.iter().map(|e| e.server).collect();
+            let mut gone: Vec<ServerId> = self.by_id.keys().filter(|s| !named.contains(s)).copied().collect();
+            gone.sort_unstable();
+            out += gone.into_iter().map(|s| self.remove(s)).sum::<f64>();
+        }
+        for entry in entries {
+            let server = entry.server;
+            if entry.state == State::Gone {
+                out += self.remove(server);
+            } else {
+                self.upsert(now, entry, chance);
+                self.let_go(server, actions);
+            }
+        }
+        self.weigh();
+        out
+    }
+
+    fn remove(&mut self, server: ServerId) -> f64 {
+        let Some(i) = self.by_id.remove(&server) else { return 0.0 };
+        let s = &mut self.servers[i as usize];
+        s.entry.state = State::Gone;
+        let out = std::mem::take(&mut s.inflight);
+        self.inflight -= out;
+        self.free.push(i);
+        out * f64::from(u8::from(self.is_origin(self.at(i))))
+    }
+
+    fn upsert(&mut self, now: Nanos, entry: Entry, chance: &mut Chance) {
+        if let Some(s) = self.get_mut(entry.server) {
+            if s.entry.started != entry.started {
+                // A changed start means a new process: no cache, no history of failures.
+                (s.evidence, s.suspect_until, s.backoff) = (0.0, 0, 0);
+                (s.tokens, s.tokens_at) = (unit(mix(chance.0 ^ entry.started)), now);
+            }
+            s.entry = entry;
+            return;
+        }
+        let (server, tokens) = (entry.server, chance.draw());
+        let banned = self.banned.contains(&server);
+        let fresh =
+            Server { entry, inverse_weight: 1.0, tokens, tokens_at: now, banned, ..Server::default() };
+        let i = self.free.pop().unwrap_or(self.servers.len() as u32);
+        if i as usize == self.servers.len() {
+            self.servers.push(Server::default());
+        }
+        self.servers[i as usize] = fresh;
+        self.by_id.insert(server, i);
+    }
+
+    /// Takes the weights of the servers from the list.
+    fn weigh(&mut self) {
+        (self.total_weight, self.live) = (0.0, 0.0);
+        for i in 0..self.servers.len() {
+            let listed = self.servers[i].entry.weight;
+            let weight = if listed.is_finite() { listed.clamp(1e-6, 1e9) } else { 1.0 };
+            self.servers[i].inverse_weight = 1.0 / weight;
+            if self.ranks(&self.servers[i]) {
+                self.total_weight += weight;
+                self.live += 1.0;
+            }
+        }
+        self.version += 1;
+    }
+
+    /// Closes what is idle at a draining server, where that is a rule: on each notice and outcome there.
+    fn let_go(&self, server: ServerId, actions: &mut Vec<Action>) {
+        let draining = self.get(server).is_some_and(|s| s.entry.state == State::Draining);
+        actions.extend((self.settings.let_go > 0 && draining).then_some(Action::Close(server)));
+    }
+
+    /// Operators take a server out, or give it back: then it counts as cold, and as never having failed.
+    pub fn ban(&mut self, now: Nanos, server: ServerId, out: bool, actions: &mut Vec<Action>) {
+        let changed = if out { self.banned.insert(server) } else { self.banned.remove(&server) };
+        if let Some(s) = self.get_mut(server).filter(|_| changed) {
+            (s.evidence, s.suspect_until, s.backoff) = (0.0, 0, 0);
+            (s.banned, s.back_at, s.tokens_at) = (out, if out { 0 } else { now }, now);
+            self.weigh();
+            actions.extend(out.then_some(Action::Close(server)));
+        }
+    }
+
+    pub fn is_origin(&self, s: &Server) -> bool {
+        self.settings.origin_kind == Some(s.entry.kind)
+    }
+
+    pub fn ranks(&self, s: &Server) -> bool {
+        // The origin of an aside deployment is a server of last resort, never a candidate.
+        s.ready() && !(self.settings.aside && self.is_origin(s))
+    }
+
+    /// An attempt out less, and a connection that was or was not to be had; false if the server is not listed.
+    pub fn released(&mut self, now: Nanos, o: &Outcome, actions: &mut Vec<Action>) -> bool {
+        self.let_go(o.server, actions);
+        let Some(s) = self.get_mut(o.server) else { return false };
+        let held = s.inflight.min(1.0);
+        s.inflight -= held;
+        if !matches!(o.status, Status::Cancelled | Status::Moot) {
+            s.reached_at = if o.status == Status::ConnectFailed { 0 } else { now };
+        }
+        self.inflight -= held;
+        true
+    }
+}
--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -1069,3 +1069,26 @@
         advice.len()
     );
 }
+
+/// Danger: what a slow server has no room for waits there behind its head, and its keys' other candidate idles.
+#[test]
+fn a_candidate_without_room_passes_requests_on_to_the_other() {
+    let homes_of = |room: Option<f64>| {
+        let mut p = Proxy::with(settings(), entries(0..6));
+        p.crowd(0..300);
+        let home = p.served(KEY, true);
+        for _ in 0..3 {
+            p.served(KEY, true);
+            p.crowd(0..100);
+        }
+        // All servers are alike busy, so that only the room tells this one apart.
+        (0..60).for_each(|key| drop(p.ask(key * 0x1234_5677)));
+        if let Some(room) = room {
+            p.event(Event::Room { server: home, room });
+        }
+        sent(&p.ask(KEY).1).map(|server| server == home)
+    };
+    assert_eq!(homes_of(None), Some(true));
+    assert_eq!(homes_of(Some(64.0)), Some(true), "room that is not used up changes nothing");
+    assert_eq!(homes_of(Some(2.0)), Some(false));
+}
