Limit what is out at each node, off unless the operator's file asks for it

Need: slow nodes got an equal part of the load, one tenant's flood was everybody's outage, and a tenant whose requests all fail spent the retries of the others.

Change: crates/core/src/limits (no I/O, no clock): a concurrency limit for each node and for the origin, a bounded queue at each node (most worth first, sparse tenants first, controlled delay), tenants' shares, and rules whose faults are all told with key and reason. The core holds back what a node has no room for and tells the module each node's room; a turned attempt counts as never run. deploy/operator.toml shows every key; ANISEYOKE_FILE names the file. The module has a retry budget for each tenant.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -1,58 +1,22 @@
 //! The sole owner of the decision module and of all requests, attempts and timers: events of the network go in,
 //! the module's actions come out. Each request gets one final answer.
 
+use crate::clock::{margin, Clock};
 use crate::fleet::{Ended, Fleet, Job, Tether};
+use crate::limits::{self, Limits, Verdict};
+use crate::listed::Listed;
+use crate::ticket::{Answer, Ticket};
 use aniseyoke_decision::api::*;
 use aniseyoke_decision::Balancer;
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 
-/// A client's time runs from its sending: so much of it is kept for the way here and for the answer's way back.
-const MARGIN: Nanos = 10_000_000;
-/// At most this part of the time. Danger: some clients wait for little longer than an answer takes; a margin made for
-/// long waits would leave them none.
-const MARGIN_PART: Nanos = 12;
-
-/// The one clock: monotonic, from the Unix time at the start, since nodes' start times are Unix times.
-#[derive(Clone, Copy)]
-struct Clock {
-    base: Nanos,
-    start: Instant,
-}
-
-impl Clock {
-    fn new() -> Self {
-        let base = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { base: base.as_nanos() as Nanos, start: Instant::now() }
-    }
-
-    fn now(&self) -> Nanos {
-        self.base.saturating_add(self.start.elapsed().as_nanos() as Nanos)
-    }
-}
-
-fn margin(patience: Nanos) -> Nanos {
-    MARGIN.min(patience / MARGIN_PART)
-}
-
-/// The final answer of a request.
-pub enum Answer<R> {
-    /// As a node gave it.
-    Served(R),
-    /// Not done, a repeat is harmless; with the advised wait.
-    Refused(Duration),
-    /// Failed, nothing promised.
-    Failed,
-    /// The module had no answer in time.
-    Overdue,
-}
-
 /// What a client asks for, in the module's terms.
 pub struct Asked<J> {
     /// Its id is given on arrival.
@@ -65,12 +29,33 @@
     server: ServerId,
     /// When it was sent, or the last byte of its request came.
     sent: Nanos,
-    /// While it is out.
-    out: Option<(Rc<T>, AbortHandle)>,
+    /// When it is over at the latest, counted from then.
+    wait: Nanos,
+    at: At<T>,
+}
+
+/// Where an attempt is.
+enum At<T> {
+    /// It waits for room at its node; nothing of it was sent.
+    Queue,
+    /// At its node, since when.
+    Node {
+        since: Nanos,
+        tether: Rc<T>,
+        task: AbortHandle,
+    },
+    Over,
+}
+
+impl<T> Attempt<T> {
+    fn over(&self) -> bool {
+        matches!(self.at, At::Over)
+    }
 }
 
 struct Pending<F: Fleet> {
-    id: RequestId,
+    class: usize,
+    tenant: Option<usize>,
     job: Rc<F::Job>,
     /// What the client waits from its last byte on.
     patience: Nanos,
@@ -85,26 +70,8 @@
     balancer: Balancer,
     next: RequestId,
     pending: FxHashMap<RequestId, Pending<F>>,
-}
-
-/// Ids that were listed at some time: so many are remembered, the oldest forgotten first.
-const LISTED_MOST: usize = 1 << 14;
-
-#[derive(Default)]
-struct Listed {
-    known: FxHashSet<ServerId>,
-    order: VecDeque<ServerId>,
-}
-
-impl Listed {
-    fn add(&mut self, server: ServerId) {
-        if self.known.insert(server) {
-            self.order.push_back(server);
-            if self.order.len() > LISTED_MOST {
-                self.order.pop_front().map(|oldest| self.known.remove(&oldest));
-            }
-        }
-    }
+    /// None where the module alone bounds what is out.
+    limits: Option<Limits>,
 }
 
 /// The owner of the module, of requests, attempts and timers, over a node side.
@@ -122,12 +89,14 @@
 
 impl<F: Fleet> Engine<F> {
     /// Starts the module with the list as it was `known` last; a message on `watch` asks for the list to be followed.
+    /// Without `limits` whatever the module sends goes out at once.
     pub fn new(
         settings: Settings,
         seed: u64,
         known: &[(Entry, Option<SocketAddr>)],
         fleet: Rc<F>,
         watch: mpsc::UnboundedSender<()>,
+        limits: Option<Limits>,
     ) -> Rc<Self> {
         let engine = Rc::new_cyclic(|myself| Engine {
             clock: Clock::new(),
@@ -136,6 +105,7 @@
                 balancer: Balancer::new(settings, seed),
                 next: 1,
                 pending: FxHashMap::default(),
+                limits,
             }),
             fleet,
             watch,
@@ -165,12 +135,21 @@
         }
         let entries: Vec<Entry> = entries.iter().map(|(e, _)| e.clone()).collect();
         entries.iter().for_each(|e| self.listed.borrow_mut().add(e.server));
-        self.feed(&mut self.core.borrow_mut(), Event::List { kind, entries });
+        let core = &mut *self.core.borrow_mut();
+        if let Some(limits) = core.limits.as_mut() {
+            entries.iter().for_each(|e| limits.listed(e));
+        }
+        self.feed(core, Event::List { kind, entries });
+    }
+
+    /// What waits for room at nodes, and how many attempts were turned away there; none where nothing is limited.
+    pub fn queued(&self) -> Option<(usize, u64)> {
+        self.core.borrow().limits.as_ref().map(|l| (l.waiting(), l.turned()))
     }
 
     /// Whether an id was ever listed.
     pub fn listed(&self, id: &str) -> bool {
-        self.listed.borrow().known.contains(&server_id(id))
+        self.listed.borrow().knows(server_id(id))
     }
 
     /// Operators take a server out, or give it back.
@@ -201,7 +180,8 @@
             job.on_taken(move || myself.upgrade().iter().for_each(|engine| engine.taken(id)));
         }
         let pending = Pending {
-            id,
+            class: request.class as usize,
+            tenant: request.tenant.map(|t| t as usize),
             job: job.clone(),
             patience: patience_left,
             deadline: (!comes).then(|| now.saturating_add(patience_left)),
@@ -221,21 +201,24 @@
         let now = self.clock.now();
         let Some(pending) = core.pending.get_mut(&id) else { return };
         pending.deadline = Some(now.saturating_add(pending.patience));
-        pending.attempts.iter_mut().filter(|a| a.out.is_some()).for_each(|a| a.sent = now);
+        for attempt in pending.attempts.iter_mut().filter(|a| !a.over()) {
+            attempt.sent = now;
+            if let At::Node { since, .. } = &mut attempt.at {
+                *since = now;
+            }
+        }
         self.feed(core, Event::Taken(id));
     }
 
     /// The client has gone, or has been told that it is too late: nothing more is done for the request.
-    fn leave(&self, id: RequestId) {
+    pub(crate) fn leave(&self, id: RequestId) {
         let core = &mut *self.core.borrow_mut();
         let Some(pending) = core.pending.get_mut(&id) else { return };
         if pending.answer.take().is_some() {
-            Self::bar(pending);
             self.feed(core, Event::Expired(id));
-            if self.cancel {
-                self.call_off_all(core, id);
-            }
-            Self::forget(core, id);
+            let mut events = VecDeque::new();
+            self.close(core, id, &mut events);
+            self.feed_all(core, events);
         }
     }
 
@@ -243,32 +226,41 @@
     fn ended(&self, id: RequestId, number: usize, ended: Ended<F::Reply>) {
         let core = &mut *self.core.borrow_mut();
         let Some(pending) = core.pending.get_mut(&id) else { return };
-        let Some(attempt) = pending.attempts.get_mut(number) else { return };
-        if attempt.out.take().is_none() {
+        if !pending.attempts.get(number).is_some_and(|a| matches!(a.at, At::Node { .. })) {
             return;
         }
+        let mut events = VecDeque::new();
+        let mut first = false;
         if let Some(response) = ended.answer {
             if let Some(answer) = pending.answer.take() {
                 let _ = answer.send(Answer::Served(response));
-                Self::bar(pending);
+                first = true;
             }
         }
-        let event = self.outcome(pending, number, ended.status, ended.hit);
-        self.feed(core, event);
-        Self::forget(core, id);
+        self.settle(core, id, number, ended.status, ended.hit, &mut events);
+        if first {
+            self.bar(core, id, &mut events);
+        }
+        self.feed_all(core, events);
     }
 
-    /// How an attempt ended, as the module is told it.
-    fn outcome(&self, pending: &Pending<F>, number: usize, status: Status, hit: Option<bool>) -> Event {
-        let Attempt { server, sent, .. } = pending.attempts[number];
-        let elapsed = self.clock.now().saturating_sub(sent);
-        let last = pending.answer.is_none();
-        Event::Outcome(Outcome { id: pending.id, attempt: number as u32, server, status, elapsed, last, hit })
+    /// An attempt has waited for room as long as it may.
+    fn waited(&self, id: RequestId, number: usize) {
+        let core = &mut *self.core.borrow_mut();
+        let now = self.clock.now();
+        if core.limits.as_mut().is_some_and(|l| l.overdue(now, (id, number))) {
+            let mut events = VecDeque::new();
+            self.settle(core, id, number, Status::Full, None, &mut events);
+            self.feed_all(core, events);
+        }
     }
 
     /// Gives an event to the module and does what it says, and so on with what follows at once from that.
     fn feed(&self, core: &mut Core<F>, event: Event) {
-        let mut events = VecDeque::from([event]);
+        self.feed_all(core, VecDeque::from([event]));
+    }
+
+    fn feed_all(&self, core: &mut Core<F>, mut events: VecDeque<Event>) {
         let mut actions = Vec::new();
         while let Some(event) = events.pop_front() {
             core.balancer.handle(self.clock.now(), event, &mut actions);
@@ -280,19 +272,15 @@
 
     fn act(&self, core: &mut Core<F>, action: Action, events: &mut VecDeque<Event>) {
         match action {
-            Action::Send { id, server, timeout } => events.extend(self.send(core, id, server, timeout)),
-            Action::Cancel { id, attempt } => events.extend(self.call_off(core, id, attempt as usize)),
+            Action::Send { id, server, timeout } => self.send(core, id, server, timeout, events),
+            Action::Cancel { id, attempt } => self.call_off(core, id, attempt as usize, events),
             Action::Refuse { id, retry_after } => {
                 self.answer(core, id, Answer::Refused(Duration::from_nanos(retry_after)), events);
             }
             Action::Fail { id } => self.answer(core, id, Answer::Failed, events),
             Action::Timer { token, delay } => {
-                let myself = self.myself.clone();
-                tokio::task::spawn_local(async move {
-                    tokio::time::sleep(Duration::from_nanos(delay)).await;
-                    if let Some(engine) = myself.upgrade() {
-                        engine.feed(&mut engine.core.borrow_mut(), Event::Timer(token));
-                    }
+                self.later(delay, move |engine| {
+                    engine.feed(&mut engine.core.borrow_mut(), Event::Timer(token))
                 });
             }
             Action::Close(server) => self.fleet.close_idle(server),
@@ -301,49 +289,121 @@
         }
     }
 
-    /// Starts an attempt; an event comes back when it ends before it began.
-    fn send(&self, core: &mut Core<F>, id: RequestId, server: ServerId, timeout: Nanos) -> Option<Event> {
+    /// Calls back after a time, if the engine still is.
+    fn later(&self, delay: Nanos, then: impl FnOnce(&Self) + 'static) {
+        let myself = self.myself.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_nanos(delay)).await;
+            if let Some(engine) = myself.upgrade() {
+                then(&engine);
+            }
+        });
+    }
+
+    /// Sends an attempt, or lets it wait where its node has no room.
+    fn send(
+        &self,
+        core: &mut Core<F>,
+        id: RequestId,
+        server: ServerId,
+        timeout: Nanos,
+        events: &mut VecDeque<Event>,
+    ) {
         let now = self.clock.now();
-        let pending = core.pending.get_mut(&id)?;
+        let Some(pending) = core.pending.get_mut(&id) else { return };
         let number = pending.attempts.len();
         let left = pending.deadline.map_or(pending.patience, |deadline| deadline.saturating_sub(now));
+        let wait = if timeout == 0 { left } else { timeout.min(left) };
+        pending.attempts.push(Attempt { server, sent: now, wait, at: At::Queue });
         if pending.answer.is_none() || left == 0 {
-            pending.attempts.push(Attempt { server, sent: now, out: None });
-            return Some(self.outcome(pending, number, Status::Moot, None));
+            return self.settle(core, id, number, Status::Moot, None, events);
+        }
+        let Some(limits) = core.limits.as_mut() else { return self.start(core, id, number) };
+        let (class, tenant, deadline) = (pending.class, pending.tenant, now.saturating_add(wait));
+        let mut steps = Vec::new();
+        let wanted = limits::Wanted { attempt: (id, number), server, class, tenant, deadline };
+        match limits.wanted(now, wanted, &mut steps) {
+            Verdict::Go => self.start(core, id, number),
+            Verdict::Wait(wait) => self.later(wait, move |engine| engine.waited(id, number)),
+            Verdict::Turned => self.settle(core, id, number, Status::Full, None, events),
         }
-        let wait = Duration::from_nanos(if timeout == 0 { left } else { timeout.min(left) });
-        let (job, tether) = (pending.job.clone(), Rc::new(F::Tether::default()));
-        let (held, myself) = (tether.clone(), self.myself.clone());
-        let attempt = self.fleet.clone().attempt(server, job, wait, held);
+        self.follow(core, steps, events);
+    }
+
+    /// Starts an attempt that has room.
+    fn start(&self, core: &mut Core<F>, id: RequestId, number: usize) {
+        let now = self.clock.now();
+        let Some(pending) = core.pending.get_mut(&id) else { return };
+        let job = pending.job.clone();
+        let Some(attempt) = pending.attempts.get_mut(number) else { return };
+        let wait = Duration::from_nanos(attempt.wait.saturating_sub(now.saturating_sub(attempt.sent)).max(1));
+        let (tether, myself) = (Rc::new(F::Tether::default()), self.myself.clone());
+        let trying = self.fleet.clone().attempt(attempt.server, job, wait, tether.clone());
         let task = tokio::task::spawn_local(async move {
-            let ended = attempt.await;
+            let ended = trying.await;
             if let Some(engine) = myself.upgrade() {
                 engine.ended(id, number, ended);
             }
         });
-        pending.attempts.push(Attempt { server, sent: now, out: Some((tether, task.abort_handle())) });
-        None
+        attempt.at = At::Node { since: now, tether, task: task.abort_handle() };
     }
 
-    /// Ends an attempt that is out, and its connection with it.
-    fn call_off(&self, core: &mut Core<F>, id: RequestId, number: usize) -> Option<Event> {
-        let pending = core.pending.get_mut(&id)?;
-        let attempt = pending.attempts.get_mut(number)?;
-        let (tether, task) = attempt.out.take()?;
-        tether.cut();
-        task.abort();
-        let event = self.outcome(pending, number, Status::Cancelled, None);
+    /// Does what follows for attempts that wait.
+    fn follow(&self, core: &mut Core<F>, steps: Vec<limits::Step>, events: &mut VecDeque<Event>) {
+        for step in steps {
+            match step {
+                limits::Step::Start((id, number)) => self.start(core, id, number),
+                limits::Step::Turn((id, number)) => self.settle(core, id, number, Status::Full, None, events),
+            }
+        }
+    }
+
+    /// Takes an attempt off the books: the module is to hear how it ended, and who waits behind it may go.
+    fn settle(
+        &self,
+        core: &mut Core<F>,
+        id: RequestId,
+        number: usize,
+        status: Status,
+        hit: Option<bool>,
+        events: &mut VecDeque<Event>,
+    ) {
+        let now = self.clock.now();
+        let Some(pending) = core.pending.get_mut(&id) else { return };
+        let Some(attempt) = pending.attempts.get_mut(number) else { return };
+        let at = std::mem::replace(&mut attempt.at, At::Over);
+        let (server, elapsed) = (attempt.server, now.saturating_sub(attempt.sent));
+        let (class, last) = (pending.class, pending.answer.is_none());
+        let outcome = Outcome { id, attempt: number as u32, server, status, elapsed, last, hit };
+        events.push_back(Event::Outcome(outcome));
+        if let (At::Node { since, .. }, Some(limits)) = (at, core.limits.as_mut()) {
+            let (elapsed, mut steps) = (now.saturating_sub(since), Vec::new());
+            let done = limits::Done { server, class, status, elapsed, hit };
+            let room = limits.done(now, done, &mut steps);
+            events.extend(room.map(|room| Event::Room { server, room }));
+            self.follow(core, steps, events);
+        }
         Self::forget(core, id);
-        Some(event)
     }
 
-    fn call_off_all(&self, core: &mut Core<F>, id: RequestId) {
-        let attempts = core.pending.get(&id).map_or(0, |p| p.attempts.len());
-        for number in 0..attempts {
-            if let Some(event) = self.call_off(core, id, number) {
-                self.feed(core, event);
+    /// Ends an attempt that is out, and its connection with it, or one that waits.
+    fn call_off(&self, core: &mut Core<F>, id: RequestId, number: usize, events: &mut VecDeque<Event>) {
+        let now = self.clock.now();
+        let Some(pending) = core.pending.get_mut(&id) else { return };
+        let Some(attempt) = pending.attempts.get_mut(number) else { return };
+        let status = match &attempt.at {
+            At::Node { tether, task, .. } => {
+                tether.cut();
+                task.abort();
+                Status::Cancelled
             }
-        }
+            At::Queue => {
+                core.limits.as_mut().map(|l| l.leave(now, (id, number)));
+                Status::Moot
+            }
+            At::Over => return,
+        };
+        self.settle(core, id, number, status, None, events);
     }
 
     /// Gives the final answer, if none was given.
@@ -358,139 +418,39 @@
         let Some(sender) = pending.answer.take() else { return };
         // A client that has just gone needs none.
         let _ = sender.send(answer);
-        Self::bar(pending);
-        if self.cancel {
-            // Danger: what is still out when the request is over would go on for nobody.
-            let attempts = pending.attempts.len();
-            events.extend((0..attempts).filter_map(|n| self.call_off(core, id, n)));
-        }
+        self.close(core, id, events);
+    }
+
+    /// Ends what is out for a request that is over, where that may be ended. Danger: it would go on for nobody.
+    fn close(&self, core: &mut Core<F>, id: RequestId, events: &mut VecDeque<Event>) {
+        self.bar(core, id, events);
+        let attempts = core.pending.get(&id).filter(|_| self.cancel).map_or(0, |p| p.attempts.len());
+        (0..attempts).for_each(|number| self.call_off(core, id, number, events));
         Self::forget(core, id);
     }
 
-    /// After the final answer nothing more is written for a request.
-    fn bar(pending: &Pending<F>) {
-        pending.attempts.iter().filter_map(|a| a.out.as_ref()).for_each(|(tether, _)| tether.bar());
+    /// After the final answer nothing more is written for a request, nor is anything sent that waits.
+    fn bar(&self, core: &mut Core<F>, id: RequestId, events: &mut VecDeque<Event>) {
+        let Some(pending) = core.pending.get(&id) else { return };
+        let mut queued = Vec::new();
+        for (number, attempt) in pending.attempts.iter().enumerate() {
+            match &attempt.at {
+                At::Node { tether, .. } => tether.bar(),
+                At::Queue => queued.push(number),
+                At::Over => {}
+            }
+        }
+        queued.into_iter().for_each(|number| self.call_off(core, id, number, events));
     }
 
     /// Drops a request that has had its answer and has no attempt out.
     fn forget(core: &mut Core<F>, id: RequestId) {
-        let over = |p: &Pending<F>| p.answer.is_none() && p.attempts.iter().all(|a| a.out.is_none());
+        let over = |p: &Pending<F>| p.answer.is_none() && p.attempts.iter().all(Attempt::over);
         if core.pending.get(&id).is_some_and(over) {
             core.pending.remove(&id);
         }
     }
 }
 
-/// A claim on one final answer. Dropped before the answer has come, it tells the module that the client left.
-pub struct Ticket<F: Fleet> {
-    id: RequestId,
-    answered: Option<oneshot::Receiver<Answer<F::Reply>>>,
-    guard: Duration,
-    job: Weak<F::Job>,
-    engine: Weak<Engine<F>>,
-}
-
-impl<F: Fleet> Ticket<F> {
-    /// Waits for the final answer, at most until just before the client stops waiting.
-    pub async fn answer(&mut self) -> Answer<F::Reply> {
-        let Some(answered) = self.answered.as_mut() else { return Answer::Overdue };
-        let late = async {
-            F::Job::taken(self.job.clone()).await;
-            tokio::time::sleep(self.guard).await;
-        };
-        let got = tokio::select! {
-            biased;
-            got = answered => Some(got),
-            () = late => None,
-        };
-        match got {
-            Some(Ok(answer)) => {
-                self.answered = None;
-                answer
-            }
-            Some(Err(_)) => Answer::Failed,
-            None => Answer::Overdue,
-        }
-    }
-}
-
-impl<F: Fleet> Drop for Ticket<F> {
-    fn drop(&mut self) {
-        if self.answered.is_some() {
-            if let Some(engine) = self.engine.upgrade() {
-                engine.leave(self.id);
-            }
-        }
-    }
-}
-
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::future::{pending, Future};
-
-    /// A fleet whose nodes never answer.
-    struct Silence;
-    struct Parcel;
-    #[derive(Default)]
-    struct Nothing;
-
-    impl Job for Parcel {
-        fn comes(&self) -> bool {
-            false
-        }
-
-        fn on_taken(&self, _then: impl FnOnce() + 'static) {}
-
-        async fn taken(_job: Weak<Self>) {}
-    }
-
-    impl Tether for Nothing {
-        fn bar(&self) {}
-        fn cut(&self) {}
-    }
-
-    impl Fleet for Silence {
-        type Job = Parcel;
-        type Reply = ();
-        type Tether = Nothing;
-
-        fn update(&self, _whole: bool, _entries: &[(Entry, Option<SocketAddr>)]) {}
-        fn ban(&self, _server: ServerId, _out: bool) {}
-        fn any_ready(&self) -> bool {
-            true
-        }
-        fn close_idle(&self, _server: ServerId) {}
-        fn attempt(
-            self: Rc<Self>,
-            _server: ServerId,
-            _job: Rc<Parcel>,
-            _wait: Duration,
-            _tether: Rc<Nothing>,
-        ) -> impl Future<Output = Ended<()>> + 'static {
-            pending()
-        }
-    }
-
-    #[test]
-    fn an_impatient_client_keeps_most_of_its_time() {
-        for (patience, most) in [(28, 3), (47, 4), (300, 10), (60_000, 10), (0, 0)] {
-            assert!(margin(patience * 1_000_000) <= most * 1_000_000, "{patience}");
-        }
-    }
-
-    /// Danger: a request that nobody answers is lost once its client stops waiting.
-    #[tokio::test(flavor = "current_thread")]
-    async fn a_request_that_the_module_leaves_unanswered_is_failed() {
-        let (_held, answered) = oneshot::channel();
-        let (guard, job) = (Duration::from_millis(1), Rc::new(Parcel));
-        let mut ticket = Ticket::<Silence> {
-            id: 1,
-            answered: Some(answered),
-            guard,
-            job: Rc::downgrade(&job),
-            engine: Weak::new(),
-        };
-        assert!(matches!(ticket.answer().await, Answer::Overdue));
-    }
-}
+mod tests;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,8 +3,14 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod clock;
 pub mod engine;
 pub mod fleet;
+pub mod limits;
+mod listed;
+pub mod ticket;
 
-pub use engine::{Answer, Asked, Engine, Ticket};
+pub use engine::{Asked, Engine};
 pub use fleet::{Ended, Fleet, Job, Tether};
+pub use limits::Limits;
+pub use ticket::{Answer, Ticket};
--- a/crates/decision/src/logic/attempts.rs
+++ b/crates/decision/src/logic/attempts.rs
@@ -61,7 +61,7 @@
 
 impl Balancer {
     pub(super) fn arrival(&mut self, now: Nanos, r: Request, actions: &mut Vec<Action>) {
-        self.traffic.arrived(now);
+        self.traffic.arrived(now, r.tenant.map(|t| t as usize));
         let class = self.settings.classes.get(r.class as usize).cloned().unwrap_or_default();
         let aim = self.traffic.aim_left(&r, &class);
         let bucket = r.key.map(|k| self.buckets.of(r.class as usize, k));
@@ -273,7 +273,8 @@
         // Danger: where a hot key drowns a server, silence of a thousand proxies floods the origin as well.
         let calm = !silent || !self.settings.aside || self.origin.in_time();
         let more = calm && (open.attempts.len() as u32) < self.settings.max_attempts.max(1);
-        let more = more && self.traffic.budget >= 1.0 && self.in_time(now, &open);
+        let tenant = open.tenant;
+        let more = more && self.traffic.may_repeat(tenant) && self.in_time(now, &open);
         let target = match (more, silent || to_origin) {
             (false, _) => None,
             (true, true) if self.settings.aside => self.to_origin(now, &open),
@@ -281,7 +282,7 @@
         };
         self.open.insert(id, open);
         let Some(i) = target else { return false };
-        self.traffic.budget -= 1.0;
+        self.traffic.repeated(tenant);
         self.send(now, id, i, actions);
         true
     }
--- a/crates/decision/src/logic/traffic.rs
+++ b/crates/decision/src/logic/traffic.rs
@@ -6,7 +6,8 @@
 pub const MEMORY_S: f64 = 16.0;
 /// Memory of what was served, in seconds.
 const SERVED_S: f64 = 2.0;
-/// Retries and hedges earned by each request, and the most that is kept.
+/// Retries and hedges earned by each request, and the most that is kept. Danger: with one purse for all, a
+/// tenant whose every request fails spends what the others' lost requests would need.
 const BUDGET: f64 = 0.3;
 const BUDGET_MOST: f64 = 10.0;
 
@@ -34,7 +35,8 @@
     pub seen: Vec<Seen>,
     pub count: Fading,
     pub started: Option<Nanos>,
-    pub budget: f64,
+    /// What all have earned, and behind that each tenant.
+    budgets: Vec<f64>,
     served: Fading,
 }
 
@@ -42,12 +44,30 @@
     pub fn new(settings: Arc<Settings>) -> Self {
         let seen = vec![Seen::default(); settings.classes.len()];
         let (count, served) = (Fading::default(), Fading::default());
-        Traffic { settings, seen, count, started: None, budget: 1.0, served }
+        let budgets = vec![1.0; 1 + settings.tenants.len()];
+        Traffic { settings, seen, count, started: None, budgets, served }
     }
 
-    pub fn arrived(&mut self, now: Nanos) {
+    pub fn arrived(&mut self, now: Nanos, tenant: Option<usize>) {
         self.count.add(now, MEMORY_S);
-        self.budget = (self.budget + BUDGET).min(BUDGET_MOST);
+        self.purses(tenant).for_each(|earned| *earned = (*earned + BUDGET).min(BUDGET_MOST));
+    }
+
+    /// What counts for a tenant's request: the process's and its own.
+    fn purses(&mut self, tenant: Option<usize>) -> impl Iterator<Item = &mut f64> {
+        let own = tenant.map_or(0, |t| t + 1);
+        let all = self.budgets.iter_mut().enumerate();
+        all.filter(move |(n, _)| *n == 0 || *n == own).map(|(_, earned)| earned)
+    }
+
+    /// Whether a further attempt has been earned.
+    pub fn may_repeat(&mut self, tenant: Option<usize>) -> bool {
+        self.purses(tenant).all(|earned| *earned >= 1.0)
+    }
+
+    /// Pays for a further attempt.
+    pub fn repeated(&mut self, tenant: Option<usize>) {
+        self.purses(tenant).for_each(|earned| *earned -= 1.0);
     }
 
     /// This proxy's requests a second, lately.
--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -1092,3 +1092,27 @@
     assert_eq!(homes_of(Some(64.0)), Some(true), "room that is not used up changes nothing");
     assert_eq!(homes_of(Some(2.0)), Some(false));
 }
+
+/// Danger: with one purse for all, a tenant whose every request is lost spends the retries of the others.
+#[test]
+fn a_tenant_whose_requests_are_all_lost_leaves_the_others_their_retries() {
+    let tenants = vec![Tenant { quota_rps: 1e6 }; 2];
+    let mut p = Proxy::with(Settings { tenants, proxies: 1, ..settings() }, entries(0..40));
+    let mut retried = [0, 0];
+    for n in 0..400u64 {
+        // Of each ten requests one is of the second tenant. All find their first server gone.
+        let tenant = u32::from(n % 10 == 9);
+        let key = Some(n * 0x9e37_79b9);
+        let (id, actions) =
+            p.ask_as(Request { key, tenant: Some(tenant), remaining: 800 * MS, ..Request::default() });
+        let Some(server) = sent(&actions) else { continue };
+        let again = p.end(id, 0, server, Status::Reset, None);
+        if let Some(server) = sent(&again) {
+            retried[tenant as usize] += 1;
+            p.end(id, 1, server, Status::Ok, Some(true));
+        }
+        p.now += 50 * MS;
+    }
+    assert!(retried[1] >= 11, "{retried:?}: 0.3 earned by each of its 40 requests");
+    assert!(retried[0] <= 120, "{retried:?}: 0.3 earned by each of 400");
+}
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -6,7 +6,7 @@
 use aniseyoke_lab::floor;
 use aniseyoke_lab::load::Load;
 use aniseyoke_lab::site::{Front, Site};
-use aniseyoke_lab::trial::{self, find_proxy, Options, Percentiles, Program, Report, Subject};
+use aniseyoke_lab::trial::{self, find_file, find_proxy, Options, Percentiles, Program, Report, Subject};
 use clap::{Args, Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::net::SocketAddr;
@@ -88,6 +88,9 @@
     /// The proxy's program; otherwise the one beside this, built first under cargo.
     #[arg(long)]
     proxy: Option<PathBuf>,
+    /// The operator's file that the proxies read.
+    #[arg(long)]
+    operator: Option<PathBuf>,
     /// Keep the figures as JSON in this file.
     #[arg(long)]
     json: Option<PathBuf>,
@@ -109,7 +112,7 @@
 struct Sweep {
     #[command(flatten)]
     which: Which,
-    /// Programs to try, NAME=FILE each; otherwise the one beside this, as for `try`.
+    /// Programs to try, NAME=FILE each, or NAME=FILE,OPERATOR with an operator's file; otherwise the one beside this, as for `try`.
     #[arg(long)]
     build: Vec<String>,
     /// Multiples of the day's rate.
@@ -214,7 +217,8 @@
 
 fn try_day(args: &Try) -> Result<bool, String> {
     let day = args.which.open()?;
-    let subject = Program { path: find_proxy(args.proxy.clone())?, args: Vec::new() };
+    let mut subject = Program::new(find_proxy(args.proxy.clone())?);
+    subject.operator = args.operator.as_deref().map(find_file).transpose()?;
     let report = play(&day, &subject, &until_interrupted())?;
     print!("{}", report.text());
     keep(&report, args.json.as_deref())?;
@@ -236,15 +240,17 @@
     let mut builds = Vec::new();
     for build in &args.build {
         let (name, file) = build.split_once('=').ok_or(format!("--build {build}: it is NAME=FILE"))?;
-        builds.push((name.to_owned(), find_proxy(Some(file.into()))?));
+        let (file, operator) = file.split_once(',').map_or((file, None), |(file, o)| (file, Some(o)));
+        let mut program = Program::new(find_proxy(Some(file.into()))?);
+        program.operator = operator.map(|o| find_file(o.as_ref())).transpose()?;
+        builds.push((name.to_owned(), program));
     }
     if builds.is_empty() {
-        builds.push(("aniseyoke".to_owned(), find_proxy(None)?));
+        builds.push(("aniseyoke".to_owned(), Program::new(find_proxy(None)?)));
     }
     let stop = until_interrupted();
     let mut curves = Vec::new();
-    for (name, path) in builds {
-        let subject = Program { path, args: Vec::new() };
+    for (name, subject) in builds {
         let options = Options { stop: stop.clone(), progress: None };
         curves.push(trial::sweep(&name, &day, &subject, &args.times, &options)?);
     }
@@ -277,9 +283,9 @@
 
 fn compare(args: &Compare) -> Result<bool, String> {
     let day = args.which.open()?;
-    let proxy = Program { path: find_proxy(args.proxy.clone())?, args: Vec::new() };
+    let proxy = Program::new(find_proxy(args.proxy.clone())?);
     let own = std::env::current_exe().map_err(|e| e.to_string())?;
-    let floor = Program { path: own, args: vec!["floor".into()] };
+    let floor = Program { args: vec!["floor".into()], ..Program::new(own) };
     let stop = until_interrupted();
     let (mut ours, mut least) = (Vec::new(), Vec::new());
     for _ in 0..args.pairs.max(1) {
--- a/crates/lab/src/day/builtin.rs
+++ b/crates/lab/src/day/builtin.rs
@@ -1,13 +1,14 @@
 //! The days that come with the laboratory.
 
 /// Name and text of each.
-pub const BUILTIN: [(&str, &str); 7] = [
+pub const BUILTIN: [(&str, &str); 8] = [
     ("quiet", include_str!("../../days/quiet.toml")),
     ("deploy", include_str!("../../days/deploy.toml")),
     ("silence", include_str!("../../days/silence.toml")),
     ("ledger", include_str!("../../days/ledger.toml")),
     ("chuseok", include_str!("../../days/chuseok.toml")),
     ("rough", include_str!("../../days/rough.toml")),
+    ("stall", include_str!("../../days/stall.toml")),
     ("plain", include_str!("../../days/plain.toml")),
 ];
 
--- a/crates/lab/src/trial/subject.rs
+++ b/crates/lab/src/trial/subject.rs
@@ -19,6 +19,9 @@
 /// A line is kept up to this length, in bytes.
 const LINE_MOST: usize = 400;
 
+/// The variable that names a proxy's operator's file.
+const OPERATOR: &str = "ANISEYOKE_FILE";
+
 /// Something that serves as a proxy.
 pub trait Subject {
     /// Starts proxy `me` by a configuration in the platform's form; `dir` is its own.
@@ -55,6 +58,15 @@
     pub path: PathBuf,
     /// Its arguments.
     pub args: Vec<String>,
+    /// The operator's file that it is to read, if any.
+    pub operator: Option<PathBuf>,
+}
+
+impl Program {
+    /// A program without arguments or operator's file.
+    pub fn new(path: PathBuf) -> Self {
+        Program { path, args: Vec::new(), operator: None }
+    }
 }
 
 type Lines = Arc<Mutex<VecDeque<String>>>;
@@ -77,6 +89,7 @@
         std::fs::write(&file, config.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
         let mut command = Command::new(&self.path);
         command.args(&self.args).env_clear().env("PROXY_CONFIG", &file).env("TMPDIR", dir);
+        command.envs(self.operator.iter().map(|file| (OPERATOR, file)));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         let mut child = command.spawn().map_err(|e| format!("{name}: {e}"))?;
         let stderr = child.stderr.take().ok_or("no standard error")?;
@@ -157,6 +170,14 @@
     }
 }
 
+/// Finds an operator's file, and names it so that a child in any folder finds it.
+///
+/// # Errors
+/// If there is none of that name.
+pub fn find_file(named: &Path) -> Result<PathBuf, String> {
+    named.canonicalize().map_err(|e| format!("{}: {e}", named.display()))
+}
+
 /// Finds the proxy's program: the one named, or the one beside this program. Under cargo it is built first, in the same
 /// profile, so that what is tried is the code as it stands.
 ///
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -12,7 +12,7 @@
 }
 
 fn proxy() -> Program {
-    Program { path: find_proxy(None).expect("the proxy"), args: Vec::new() }
+    Program::new(find_proxy(None).expect("the proxy"))
 }
 
 fn play(day: &Day) -> Report {
@@ -96,8 +96,8 @@
 fn a_program_that_does_not_start_is_reported_with_its_last_lines() {
     let day = Day::open("quiet").expect("built in");
     let program = Program {
-        path: PathBuf::from("/bin/sh"),
         args: vec!["-c".into(), "echo no such luck >&2; exit 3".into()],
+        ..Program::new(PathBuf::from("/bin/sh"))
     };
     let why = run(&day, &program, &Options::default()).expect_err("no trial");
     assert!(why.contains("no such luck") && why.contains('3'), "{why}");
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -5,7 +5,7 @@
 mod answer;
 mod client;
 mod gate;
-mod limits;
+mod places;
 mod request;
 mod stop;
 
@@ -14,15 +14,17 @@
 use crate::control::Control;
 use crate::discovery::{self, Discovery};
 use crate::drain::Drain;
+use crate::operator::Operator;
 use crate::peers::Peers;
 use crate::socket::Descriptors;
 use crate::state::Store;
 use crate::upstream::Upstreams;
-use crate::{admin, handover, Engine};
+use crate::{admin, handover, operator, Engine};
+use aniseyoke_core::Limits;
 use aniseyoke_decision::api;
 use client::Client;
 use hyper::header::HeaderValue;
-use limits::Limits;
+use places::Places;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::future::Future;
@@ -63,7 +65,12 @@
 }
 
 /// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
-pub async fn run(config: Config, stop: impl Future<Output = ()>, mut hangup: Signal) -> Result<(), String> {
+pub async fn run(
+    config: Config,
+    operator: Operator,
+    stop: impl Future<Output = ()>,
+    mut hangup: Signal,
+) -> Result<(), String> {
     let listen = config.listen;
     let inherited = handover::inherited(listen)?;
     let handed = inherited.is_some();
@@ -79,10 +86,10 @@
     let (door, door_memory) = config.mgmt.map_or((0, 0), |_| (admin::DESCRIPTORS, admin::MEMORY));
     let own = OWN_DESCRIPTORS + door;
     let memory = config.memory.saturating_sub(OWN_MEMORY + door_memory);
-    let limits = Limits { sockets: config.sockets, own, memory };
+    let places = Places { sockets: config.sockets, own, memory };
     let others = living.others();
-    let descriptors = Descriptors::new(limits.part(&others));
-    let budget = Budget::new(limits.held(&others));
+    let descriptors = Descriptors::new(places.part(&others));
+    let budget = Budget::new(places.held(&others));
     let settings = config.settings.clone();
     let (connect_timeout, conn_idle) = (config.connect_timeout, settings.conn_idle);
     let upstreams = Upstreams::new(descriptors.clone(), budget.clone(), connect_timeout, conn_idle);
@@ -94,7 +101,9 @@
     let (addr, names) = (config.discovery, Rc::new(config.names));
     let discovery = Discovery::new(addr, version, settings.must_ask_in, names.clone());
     let known = config.known.as_ref().map_or_else(Vec::new, |known| names.entries(known));
-    let engine = Engine::new(config.settings, config.seed, &known, upstreams.clone(), watch);
+    let held = operator.limits.map(|rules| Limits::new(rules, &config.settings)).transpose();
+    let held = held.map_err(|fault| format!("{}: {fault}", operator::FILE))?;
+    let engine = Engine::new(config.settings, config.seed, &known, upstreams.clone(), watch, held);
     let (moves, moved) = mpsc::unbounded_channel();
     tokio::task::spawn_local(discovery.follow(engine.clone(), asked, moved));
     tokio::task::spawn_local(async move {
@@ -158,7 +167,7 @@
         loop {
             sleep(LOOK_EVERY).await;
             looking.look();
-            sharing.share(&limits, &living);
+            sharing.share(&places, &living);
         }
     });
     tokio::select! {
@@ -184,14 +193,14 @@
     }
 
     /// Takes no more descriptors than the other processes of this proxy leave; one that stops takes ever fewer.
-    fn share(&self, limits: &Limits, living: &Peers) {
+    fn share(&self, places: &Places, living: &Peers) {
         let others = living.others();
-        let mut most = limits.part(&others);
+        let mut most = places.part(&others);
         if self.drain.stopping() && !others.is_empty() {
             most = most.min(self.descriptors.used() + CLAIM_MORE);
-            living.claim(most + limits.own);
+            living.claim(most + places.own);
         }
-        self.budget.limit(limits.held(&others));
+        self.budget.limit(places.held(&others));
         if most != self.descriptors.most() {
             self.descriptors.limit(most);
         }
--- a/crates/proxy/src/front/places.rs
+++ b/crates/proxy/src/front/places.rs
@@ -4,7 +4,7 @@
 use crate::{BODY_MOST, BUFFER_MOST};
 
 /// What a lone process may take.
-pub struct Limits {
+pub struct Places {
     /// Descriptors in all.
     pub sockets: usize,
     /// Descriptors that each process needs beside those of its connections.
@@ -13,7 +13,7 @@
     pub memory: usize,
 }
 
-impl Limits {
+impl Places {
     /// The connections that this process may hold beside others.
     pub fn part(&self, others: &[Option<usize>]) -> usize {
         // Danger: each connection may come to hold what is read ahead of it and what is still to be written.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod front;
 mod handover;
+pub mod operator;
 mod peers;
 mod relay;
 #[cfg(test)]
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -8,6 +8,7 @@
     // Danger: until it is handled this signal ends the process.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
     let config = aniseyoke::config::Config::from_env()?;
+    let operator = aniseyoke::operator::Operator::from_env()?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("SIGINT: {e}"))?;
     let stop = async move {
@@ -16,7 +17,7 @@
             _ = interrupt.recv() => {}
         }
     };
-    aniseyoke::front::run(config, stop, hangup).await
+    aniseyoke::front::run(config, operator, stop, hangup).await
 }
 
 #[tokio::main(flavor = "current_thread")]
