Give operators a checked file, a command line and a log that never blocks

Need: a restart was the only way to set anything, there was no command line, errors came one at a time without a place, and the log wrote to standard error from the one thread that serves.

Change: crates/config (one model of all keys from which schema, checks, explanations and differences come; layers with the place of each value), crates/logging (tracing, bounded queue, a rate for each call site, levels changed at run time), clap commands serve, config, ctl, completions, man, and GET /api/version at the door. A bare start without an operator's file does what it did.

--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,274 @@
+//! Checks a layer against the schema, and tells all faults at once with their places.
+
+use crate::schema::{choices, kind, meant, member, schema};
+use serde_json::Value;
+use std::fmt;
+use std::time::Duration;
+use toml::de::{DeTable, DeValue};
+use toml::Spanned;
+
+/// Something that is wrong, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The layer: a file with line and column, a variable, or a version of the control service.
+    pub place: String,
+    /// The key at fault; empty where the text as a whole can't be read.
+    pub key: String,
+    /// What is wrong with it.
+    pub why: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.key.as_str() {
+            "" => write!(f, "{}: {}", self.place, self.why),
+            key => write!(f, "{}: {key}: {}", self.place, self.why),
+        }
+    }
+}
+
+/// So many faults are told of one layer; a text that is no configuration at all has thousands.
+const FAULTS_MOST: usize = 100;
+/// A name this similar to a key that is known is taken for a slip (Jaro and Winkler, 0 to 1).
+const SIMILAR: f64 = 0.75;
+
+/// A text, parsed as far as it can be, with what is wrong with it.
+pub struct Checked {
+    /// What could be read.
+    pub table: toml::Table,
+    /// Keys and where they stand, as line and column from 1.
+    pub places: Vec<(String, (usize, usize))>,
+    /// All that is wrong.
+    pub faults: Vec<Fault>,
+}
+
+/// Checks one text. `place` names it, and `lines` says whether lines and columns mean anything in it.
+pub fn check(text: &str, place: &str, lines: bool) -> Checked {
+    let mut walk = Walk { text, place, lines, faults: Vec::new(), places: Vec::new() };
+    let (table, errors) = DeTable::parse_recoverable(text);
+    for error in errors {
+        let at = error.span().map_or(0, |span| span.start);
+        walk.fault(at, String::new(), error.message().to_owned());
+    }
+    if walk.faults.is_empty() {
+        walk.table("", schema(), table.get_ref());
+    }
+    // What holds no fault can be read as plain TOML.
+    let table = if walk.faults.is_empty() { text.parse().unwrap_or_default() } else { toml::Table::new() };
+    walk.faults.sort_by_key(|(offset, _)| *offset);
+    Checked { table, places: walk.places, faults: walk.faults.into_iter().map(|(_, fault)| fault).collect() }
+}
+
+struct Walk<'a> {
+    text: &'a str,
+    place: &'a str,
+    lines: bool,
+    /// With where each stands, so that they can be told in that order.
+    faults: Vec<(usize, Fault)>,
+    places: Vec<(String, (usize, usize))>,
+}
+
+impl Walk<'_> {
+    fn at(&self, offset: usize) -> (usize, usize) {
+        let before = &self.text.as_bytes()[..offset.min(self.text.len())];
+        let line = before.iter().filter(|b| **b == b'\n').count() + 1;
+        let start = before.iter().rposition(|b| *b == b'\n').map_or(0, |n| n + 1);
+        (line, before.len() - start + 1)
+    }
+
+    fn fault(&mut self, offset: usize, key: String, why: String) {
+        if self.faults.len() < FAULTS_MOST {
+            let place = match (self.lines, self.at(offset)) {
+                (true, (line, column)) => format!("{}:{line}:{column}", self.place),
+                _ => self.place.to_owned(),
+            };
+            self.faults.push((offset, Fault { place, key, why }));
+        }
+    }
+
+    fn table(&mut self, path: &str, node: &'static Value, table: &DeTable<'_>) {
+        for (name, value) in table.iter() {
+            let (offset, name) = (name.span().start, name.get_ref().as_ref());
+            let key = if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
+            match member(node, name) {
+                Some(own) => {
+                    let at = self.at(offset);
+                    self.places.push((key.clone(), at));
+                    self.value(key, own, value);
+                }
+                None => {
+                    let why = unknown(node, name);
+                    self.fault(offset, key, why);
+                }
+            }
+        }
+    }
+
+    fn value(&mut self, key: String, own: &'static Value, value: &Spanned<DeValue<'_>>) {
+        let (node, offset) = (meant(own), value.span().start);
+        let duration = told(own, node, "x-kind").is_some_and(|kind| kind == "duration");
+        let wanted = kind(node);
+        match (wanted, value.get_ref()) {
+            ("object", DeValue::Table(table)) => self.table(&key, node, table),
+            ("array", DeValue::Array(list)) => {
+                for (n, item) in list.iter().enumerate() {
+                    self.value(format!("{key}.{n}"), &node["items"], item);
+                }
+            }
+            ("string", DeValue::String(text)) if duration => {
+                if let Err(why) = span(text, own, node) {
+                    self.fault(offset, key, why);
+                }
+            }
+            ("string", DeValue::String(text)) => {
+                let may = choices(node);
+                if !may.is_empty() && !may.contains(&text.as_ref()) {
+                    self.fault(offset, key, format!("{text:?} is none of {}", may.join(", ")));
+                }
+            }
+            ("boolean", DeValue::Boolean(_)) => {}
+            ("integer", DeValue::Integer(n)) => {
+                let number = i64::from_str_radix(n.as_str(), n.radix()).ok();
+                self.number(offset, key, number.map(|n| n as f64), own, node);
+            }
+            ("number", DeValue::Integer(n)) => {
+                let number = i64::from_str_radix(n.as_str(), n.radix()).ok();
+                self.number(offset, key, number.map(|n| n as f64), own, node);
+            }
+            ("number", DeValue::Float(n)) => self.number(offset, key, n.as_str().parse().ok(), own, node),
+            (_, given) => {
+                let wanted = match (duration, wanted) {
+                    (true, _) => "a text with a time and its unit, such as \"100ms\"",
+                    (_, "object") => "a table",
+                    (_, "array") => "a list",
+                    (_, "string") => "a text in quotes",
+                    (_, "boolean") => "true or false",
+                    (_, "integer") => "a whole number",
+                    _ => "a number",
+                };
+                self.fault(offset, key, format!("{wanted} is wanted, not {}", shape(given)));
+            }
+        }
+    }
+
+    fn number(&mut self, offset: usize, key: String, number: Option<f64>, own: &Value, node: &Value) {
+        let bound = |name| told(own, node, name).and_then(Value::as_f64);
+        let (least, most) = (bound("minimum"), bound("maximum"));
+        let why = match number {
+            None => "the number is too large".to_owned(),
+            Some(n) if n.is_nan() => "it is not a number".to_owned(),
+            Some(n) if least.is_some_and(|least| n < least) || most.is_some_and(|most| n > most) => {
+                format!("{n} lies outside of {}", range(least, most))
+            }
+            Some(_) => return,
+        };
+        self.fault(offset, key, why);
+    }
+}
+
+fn told<'a>(own: &'a Value, node: &'a Value, name: &str) -> Option<&'a Value> {
+    own.get(name).or_else(|| node.get(name))
+}
+
+/// A range in words.
+pub fn range(least: Option<f64>, most: Option<f64>) -> String {
+    match (least, most) {
+        (Some(least), Some(most)) => format!("{least} to {most}"),
+        (Some(least), None) => format!("{least} and up"),
+        (None, Some(most)) => format!("up to {most}"),
+        (None, None) => "any number".into(),
+    }
+}
+
+/// Checks a span of time with its unit.
+fn span(text: &str, own: &Value, node: &Value) -> Result<(), String> {
+    let given =
+        humantime::parse_duration(text).map_err(|e| format!("{text:?} is no time with a unit: {e}"))?;
+    let bound = |name| {
+        let told = told(own, node, name).and_then(Value::as_str);
+        told.and_then(|t| humantime::parse_duration(t).ok())
+    };
+    let (least, most): (Option<Duration>, Option<Duration>) = (bound("x-least"), bound("x-most"));
+    if least.is_some_and(|least| given < least) || most.is_some_and(|most| given > most) {
+        let show =
+            |d: Option<Duration>| d.map_or("any".into(), |d| humantime::format_duration(d).to_string());
+        return Err(format!("{text} lies outside of {} to {}", show(least), show(most)));
+    }
+    Ok(())
+}
+
+fn shape(value: &DeValue<'_>) -> &'static str {
+    match value {
+        DeValue::String(_) => "a text",
+        DeValue::Integer(_) => "a whole number",
+        DeValue::Float(_) => "a number with a point",
+        DeValue::Boolean(_) => "true or false",
+        DeValue::Datetime(_) => "a date",
+        DeValue::Array(_) => "a list",
+        DeValue::Table(_) => "a table",
+    }
+}
+
+fn unknown(node: &Value, name: &str) -> String {
+    let known = || node["properties"].as_object().into_iter().flatten().map(|(known, _)| known.as_str());
+    let near = known().map(|known| (strsim::jaro_winkler(known, name), known));
+    let near = near.filter(|(alike, _)| *alike >= SIMILAR).max_by(|a, b| a.0.total_cmp(&b.0));
+    match near {
+        Some((_, near)) => format!("there is no such key; did you mean {near:?}?"),
+        None => format!("there is no such key; there is {}", known().collect::<Vec<_>>().join(", ")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn faults(text: &str) -> Vec<String> {
+        check(text, "f.toml", true).faults.iter().map(ToString::to_string).collect()
+    }
+
+    #[test]
+    fn a_sound_text_has_no_fault() {
+        let text =
+            "[log]\nlevel = \"debug\"\n[limits.queue]\ninterval = \"50ms\"\n[pools.a]\nzones = [\"x\"]";
+        assert_eq!(faults(text), Vec::<String>::new());
+    }
+
+    #[test]
+    fn all_faults_are_told_at_once_with_their_places() {
+        let text = "[log]\nlevl = \"info\"\nburst = 0\nformat = \"xml\"\n[limits.queue]\ninterval = 5\ntarget = \"5\"\n[nothing]\n";
+        let told = faults(text);
+        let wanted = [
+            "f.toml:2:1: log.levl: there is no such key; did you mean \"level\"?",
+            "f.toml:3:9: log.burst: 0 lies outside of 1 to 100000",
+            "f.toml:4:10: log.format: \"xml\" is none of plain, json",
+            "f.toml:6:12: limits.queue.interval: a text with a time and its unit, such as \"100ms\" is wanted, not a whole number",
+            "f.toml:7:10: limits.queue.target: \"5\" is no time with a unit",
+            "f.toml:8:2: nothing: there is no such key; there is limits, log, pools, routes, tenants",
+        ];
+        assert_eq!(told.len(), wanted.len(), "{told:#?}");
+        for want in wanted {
+            assert!(told.iter().any(|t| t.starts_with(want)), "{want} is not in {told:#?}");
+        }
+    }
+
+    #[test]
+    fn a_text_that_is_no_toml_is_told_with_every_line_at_fault() {
+        let told = faults("a = \nb = 1\nc = [1,\n");
+        assert!(told.iter().any(|t| t.starts_with("f.toml:1:")), "{told:?}");
+        assert!(told.len() >= 2, "{told:?}");
+    }
+
+    #[test]
+    fn the_faults_of_a_text_without_sense_are_bounded() {
+        let text: String = (0..10_000).map(|n| format!("k{n} = 1\n")).collect();
+        assert_eq!(check(&text, "f", true).faults.len(), FAULTS_MOST);
+    }
+
+    #[test]
+    fn a_number_of_any_size_or_form_is_no_panic() {
+        for number in ["99999999999999999999", "0x7fffffffffffffff", "-1", "1e400", "nan", "inf", "1_000"] {
+            faults(&format!("[log]\nburst = {number}\n[tenants.a]\nshare = {number}\n"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/layers.rs
@@ -0,0 +1,275 @@
+//! Layers on top of each other: defaults, the file, the environment, what a control service says. The later one counts;
+//! tables are merged key by key, lists and values are replaced as a whole.
+
+use crate::check::{check, Fault};
+use crate::model::Operator;
+use serde::Deserialize;
+use sha2::{Digest, Sha256};
+use std::collections::BTreeMap;
+use std::fmt;
+use toml::{Table, Value};
+
+/// Variables that begin so set a key each: `ANISEYOKE__LOG__LEVEL` sets `log.level`.
+pub const PREFIX: &str = "ANISEYOKE__";
+
+/// One layer as it came.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A file's name and text.
+    File(String, String),
+    /// A variable's name and value.
+    Variable(String, String),
+    /// The number and the text of a control service's version.
+    Service(u64, String),
+}
+
+/// Which layer a value comes from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// Nothing sets it.
+    Default,
+    /// A file, with line and column.
+    File(String, (usize, usize)),
+    /// A variable.
+    Variable(String),
+    /// A control service's version.
+    Service(u64),
+}
+
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Origin::Default => f.write_str("default"),
+            Origin::File(name, (line, column)) => write!(f, "{name}:{line}:{column}"),
+            Origin::Variable(name) => write!(f, "${name}"),
+            Origin::Service(version) => write!(f, "control service, version {version}"),
+        }
+    }
+}
+
+/// What all layers come to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Resolved {
+    /// What counts.
+    pub operator: Operator,
+    /// What is set, and by which layer.
+    pub origins: BTreeMap<String, Origin>,
+    /// What is set, as one table.
+    pub table: Table,
+}
+
+impl Resolved {
+    /// Where a key's value comes from: the layer that sets it, or a table or list around it.
+    pub fn origin(&self, key: &str) -> Origin {
+        origin(&self.origins, key)
+    }
+
+    /// SHA-256 over what counts, defaults included, in hex: alike for two configurations that say the same.
+    pub fn digest(&self) -> String {
+        let text = serde_json::to_string(&self.operator).unwrap_or_default();
+        Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
+fn origin(origins: &BTreeMap<String, Origin>, key: &str) -> Origin {
+    let mut key = key;
+    loop {
+        if let Some(origin) = origins.get(key) {
+            return origin.clone();
+        }
+        match key.rsplit_once('.') {
+            Some((around, _)) => key = around,
+            None => return Origin::Default,
+        }
+    }
+}
+
+/// The layers of the environment: each variable that begins with [`PREFIX`], in the order of their names.
+pub fn environment(all: impl IntoIterator<Item = (String, String)>) -> Vec<Source> {
+    let own = all.into_iter().filter(|(name, _)| name.starts_with(PREFIX));
+    let mut own: Vec<_> = own.map(|(name, value)| Source::Variable(name, value)).collect();
+    own.sort_by(|a, b| match (a, b) {
+        (Source::Variable(a, _), Source::Variable(b, _)) => a.cmp(b),
+        _ => std::cmp::Ordering::Equal,
+    });
+    own
+}
+
+/// A variable as TOML: its path from its name, its value as it stands, or in quotes where that is no value.
+fn assignment(name: &str, value: &str) -> String {
+    let path = name.strip_prefix(PREFIX).unwrap_or(name).to_lowercase();
+    let quoted = |text: &str| Value::String(text.to_owned()).to_string();
+    let path: Vec<String> = path.split("__").map(quoted).collect();
+    let path = path.join(".");
+    let plain = format!("{path} = {value}");
+    if !value.contains('\n') && plain.parse::<Table>().is_ok() {
+        plain
+    } else {
+        format!("{path} = {}", quoted(value))
+    }
+}
+
+/// Puts layers on top of each other, the first at the bottom.
+///
+/// # Errors
+/// All that is wrong in any layer; and, where no layer by itself is at fault, all that contradicts itself in what they
+/// come to, with the place that set it.
+pub fn resolve(layers: &[Source]) -> Result<Resolved, Vec<Fault>> {
+    let (mut table, mut origins, mut faults) = (Table::new(), BTreeMap::new(), Vec::new());
+    for layer in layers {
+        let checked = match layer {
+            Source::File(name, text) => check(text, name, true),
+            Source::Variable(name, value) => check(&assignment(name, value), &format!("${name}"), false),
+            Source::Service(version, text) => check(text, &Origin::Service(*version).to_string(), true),
+        };
+        faults.extend(checked.faults);
+        for (key, at) in checked.places {
+            let origin = match layer {
+                Source::File(name, _) => Origin::File(name.clone(), at),
+                Source::Variable(name, _) => Origin::Variable(name.clone()),
+                Source::Service(version, _) => Origin::Service(*version),
+            };
+            origins.insert(key, origin);
+        }
+        merge(&mut table, checked.table);
+    }
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let read = Operator::deserialize(Value::Table(table.clone()));
+    let operator = read.map_err(|e| {
+        vec![Fault { place: "all layers".into(), key: String::new(), why: e.message().to_owned() }]
+    })?;
+    let faults = operator.faults().into_iter().map(|(key, why)| {
+        let place = origin(&origins, &key).to_string();
+        Fault { place, key, why }
+    });
+    let faults: Vec<Fault> = faults.collect();
+    if faults.is_empty() {
+        Ok(Resolved { operator, origins, table })
+    } else {
+        Err(faults)
+    }
+}
+
+/// Lays one table over another.
+pub fn merge(below: &mut Table, above: Table) {
+    for (key, value) in above {
+        match (below.get_mut(&key), value) {
+            (Some(Value::Table(below)), Value::Table(above)) => merge(below, above),
+            (_, value) => drop(below.insert(key, value)),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::model::Level;
+    use proptest::prelude::*;
+
+    fn file(text: &str) -> Source {
+        Source::File("f.toml".into(), text.into())
+    }
+
+    fn variable(name: &str, value: &str) -> Source {
+        Source::Variable(name.into(), value.into())
+    }
+
+    #[test]
+    fn nothing_set_is_the_default() {
+        let resolved = resolve(&[]).expect("sound");
+        assert_eq!(resolved.operator, Operator::default());
+        assert_eq!(resolved.origin("log.level"), Origin::Default);
+    }
+
+    #[test]
+    fn the_later_layer_counts_and_each_value_knows_where_it_comes_from() {
+        let layers = [
+            file("[log]\nlevel = \"warn\"\nburst = 5\n"),
+            variable("ANISEYOKE__LOG__LEVEL", "debug"),
+            Source::Service(7, "[log]\nper_second = 9".into()),
+        ];
+        let resolved = resolve(&layers).expect("sound");
+        let log = &resolved.operator.log;
+        assert_eq!((log.level, log.burst, log.per_second), (Level::Debug, 5, 9));
+        assert_eq!(resolved.origin("log.level"), Origin::Variable("ANISEYOKE__LOG__LEVEL".into()));
+        assert_eq!(resolved.origin("log.burst"), Origin::File("f.toml".into(), (3, 1)));
+        assert_eq!(resolved.origin("log.per_second"), Origin::Service(7));
+    }
+
+    #[test]
+    fn a_contradiction_between_layers_is_told_at_the_place_that_set_it() {
+        let layers =
+            [file("[limits.node]\nceiling = 10.0\n"), variable("ANISEYOKE__LIMITS__NODE__FLOOR", "20")];
+        let faults = resolve(&layers).expect_err("the floor is above the ceiling");
+        let floor = faults.iter().find(|f| f.key == "limits.node.floor").expect("named");
+        assert_eq!(floor.place, "$ANISEYOKE__LIMITS__NODE__FLOOR");
+        assert!(floor.why.contains("above the ceiling"), "{floor}");
+    }
+
+    #[test]
+    fn faults_of_all_layers_are_told_at_once() {
+        let layers =
+            [file("[lag]"), variable("ANISEYOKE__LOG__BURST", "many"), variable("ANISEYOKE__X", "1")];
+        let faults = resolve(&layers).expect_err("three");
+        let places: Vec<&str> = faults.iter().map(|f| f.place.as_str()).collect();
+        assert_eq!(places, ["f.toml:1:2", "$ANISEYOKE__LOG__BURST", "$ANISEYOKE__X"]);
+    }
+
+    #[test]
+    fn a_route_to_no_pool_and_a_route_that_none_reaches_are_refused() {
+        let text = "[pools.a]\nkinds = [\"k\"]\n[[routes]]\nclass = \"c\"\npool = \"b\"\n[[routes]]\nclass = \"c\"\npool = \"a\"\n";
+        let faults = resolve(&[file(text)]).expect_err("two");
+        let keys: Vec<&str> = faults.iter().map(|f| f.key.as_str()).collect();
+        assert_eq!(keys, ["routes.0.pool", "routes.1"]);
+        assert!(faults.iter().all(|f| f.place.starts_with("f.toml:")), "{faults:?}");
+    }
+
+    #[test]
+    fn the_digest_tells_what_is_said_and_not_how() {
+        let digest = |text: &str| resolve(&[file(text)]).expect("sound").digest();
+        assert_eq!(digest(""), digest("[log]\nlevel = \"info\""));
+        assert_eq!(digest("log.burst = 7"), digest("[log] # seven\nburst = 7"));
+        assert_ne!(digest(""), digest("log.burst = 7"));
+    }
+
+    fn some_log() -> impl Strategy<Value = String> {
+        let level = prop::option::of(prop::sample::select(vec!["off", "error", "warn", "info"]));
+        let number = || prop::option::of(1u32..1000);
+        (level, number(), number()).prop_map(|(level, burst, per_second)| {
+            let mut text = String::from("[log]\n");
+            level.into_iter().for_each(|l| text += &format!("level = \"{l}\"\n"));
+            burst.into_iter().for_each(|b| text += &format!("burst = {b}\n"));
+            per_second.into_iter().for_each(|p| text += &format!("per_second = {p}\n"));
+            text
+        })
+    }
+
+    proptest! {
+        #[test]
+        fn layers_may_be_put_together_in_any_grouping(texts in prop::collection::vec(some_log(), 0..5), cut in 0usize..5) {
+            let table = |texts: &[String]| {
+                let mut all = Table::new();
+                texts.iter().for_each(|t| merge(&mut all, t.parse().expect("TOML")));
+                all
+            };
+            let cut = cut.min(texts.len());
+            let mut grouped = table(&texts[..cut]);
+            merge(&mut grouped, table(&texts[cut..]));
+            prop_assert_eq!(grouped, table(&texts));
+        }
+
+        #[test]
+        fn a_layer_says_no_more_when_said_twice(below in some_log(), above in some_log()) {
+            let once = resolve(&[file(&below), file(&above)]).expect("sound").operator;
+            let twice = resolve(&[file(&below), file(&above), file(&above)]).expect("sound").operator;
+            prop_assert_eq!(once, twice);
+        }
+
+        #[test]
+        fn no_text_is_a_panic(text in ".{0,200}") {
+            let _ = resolve(&[file(&text), variable("ANISEYOKE__LOG__LEVEL", &text)]);
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/model.rs
@@ -0,0 +1,153 @@
+//! Every key of the operator's file. A doc comment here is what `config explain` prints.
+
+use aniseyoke_core::limits::Rules;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// All that an operator may set. A part that is left out is off.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Operator {
+    /// What is written to the log, and how.
+    pub log: Log,
+    /// What may be out at nodes, and who waits for room there; off where it is not named.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub limits: Option<Rules>,
+    /// Tenants by the name that the platform gives them.
+    pub tenants: BTreeMap<String, Tenant>,
+    /// Named parts of the fleet, which routes point to.
+    pub pools: BTreeMap<String, Pool>,
+    /// Which requests go to which pool; the first that fits counts, and what fits none may go to any node.
+    pub routes: Vec<Route>,
+}
+
+/// What is written to the log, and how.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// The form of a line: bare text, or a JSON object.
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub format: Format,
+    /// The least weight of a line that is written.
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "reload"))]
+    pub level: Level,
+    /// The same for a part of the program, by its name, such as `discovery` or `handover`.
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "reload"))]
+    pub targets: BTreeMap<String, Level>,
+    /// So many lines of one kind are written at once; of more, `per_second`, and a count of what was left out.
+    #[schemars(range(min = 1, max = 100_000), extend("x-since" = "0.3", "x-apply" = "restart", "x-unit" = "lines"))]
+    pub burst: u32,
+    /// Lines of one kind that are written each second once the burst is used up.
+    #[schemars(range(min = 1, max = 10_000), extend("x-since" = "0.3", "x-apply" = "restart", "x-unit" = "lines a second"))]
+    pub per_second: u32,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        let (format, level, targets) = (Format::Plain, Level::Info, BTreeMap::new());
+        Log { format, level, targets, burst: 100, per_second: 1 }
+    }
+}
+
+/// The form of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Format {
+    /// `aniseyoke: ` and the text.
+    Plain,
+    /// A JSON object with time, level, target and fields.
+    Json,
+}
+
+/// The weight of a log line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "lowercase")]
+pub enum Level {
+    /// Nothing.
+    Off,
+    /// What failed.
+    Error,
+    /// What may fail next.
+    Warn,
+    /// What changed.
+    Info,
+    /// What happened.
+    Debug,
+    /// Everything.
+    Trace,
+}
+
+/// A tenant.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tenant {
+    /// Requests a second over all proxies that count as its share, in place of what the platform says.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 0.0, max = 1e9), extend("x-since" = "0.3", "x-apply" = "restart", "x-unit" = "requests a second"))]
+    pub share: Option<f64>,
+}
+
+/// A part of the fleet: the nodes that fit every list that is given. At least one list is.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Pool {
+    /// Names of zones.
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub zones: Vec<String>,
+    /// Names of machine kinds.
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub kinds: Vec<String>,
+}
+
+/// Where some requests go. Each condition that is given must fit; at least one is given.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Route {
+    /// The name of a class.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub class: Option<String>,
+    /// The pool that these requests go to.
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub pool: String,
+}
+
+impl Operator {
+    /// All that contradicts itself: a key each, and why.
+    pub fn faults(&self) -> Vec<(String, String)> {
+        let mut faults = Vec::new();
+        if let Some(rules) = &self.limits {
+            faults.extend(rules.faults().into_iter().map(|f| (format!("limits.{}", f.key), f.why)));
+        }
+        for (name, pool) in &self.pools {
+            if pool.zones.is_empty() && pool.kinds.is_empty() {
+                faults.push((format!("pools.{name}"), "it names no zones and no kinds".into()));
+            }
+        }
+        for (n, route) in self.routes.iter().enumerate() {
+            if !self.pools.contains_key(&route.pool) {
+                let known: Vec<&str> = self.pools.keys().map(String::as_str).collect();
+                let why = format!("there is no pool {:?}; there is {}", route.pool, listed(&known));
+                faults.push((format!("routes.{n}.pool"), why));
+            }
+            if route.class.is_none() {
+                faults.push((format!("routes.{n}"), "it has no condition".into()));
+            }
+            let same = |r: &Route| r.class == route.class;
+            if let Some(earlier) = self.routes[..n].iter().position(same) {
+                faults.push((format!("routes.{n}"), format!("route {earlier} takes all that would fit it")));
+            }
+        }
+        faults
+    }
+}
+
+fn listed(names: &[&str]) -> String {
+    if names.is_empty() {
+        "none".into()
+    } else {
+        names.join(", ")
+    }
+}
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -3,7 +3,7 @@
 //! Nothing here reads a clock or a socket: the caller hands in the time, says what it sends and how that ended, and is
 //! told what to do ([`Verdict`], [`Step`]). No server is chosen here either. The decision module is told of each
 //! node's room by `Event::Room` and chooses by it; what it has sent to a node that has no room left waits here, at that
-//! node's [`queue`], for a bounded time, and is given back as never run when its time or its turn is over.
+//! node's [`Queue`], for a bounded time, and is given back as never run when its time or its turn is over.
 
 mod concurrency;
 mod queue;
--- a/crates/core/src/limits/rules.rs
+++ b/crates/core/src/limits/rules.rs
@@ -1,12 +1,13 @@
 //! What operators may set, with ranges.
 
 use aniseyoke_decision::api::Nanos;
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::time::Duration;
 
 /// Limits as an operator's file sets them under `[limits]`; what it leaves out stands at its default.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Rules {
     /// What may be out at a node.
@@ -16,6 +17,7 @@
     /// Who waits there, and how long.
     pub queue: QueueRules,
     /// The part of a node's room that requests over their tenant's share may use, 0 to 1.
+    #[schemars(range(min = 0.0, max = 1.0), extend("x-since" = "0.3", "x-apply" = "restart"))]
     pub over_share_part: f64,
 }
 
@@ -27,16 +29,20 @@
 }
 
 /// Bounds of a concurrency limit, in attempts that are out at once.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Bounds {
     /// Never less than this, whatever is seen. At least 1.
+    #[schemars(range(min = 1.0, max = 100_000.0), extend("x-since" = "0.3", "x-apply" = "restart", "x-unit" = "attempts"))]
     pub floor: f64,
     /// Before anything is seen, and after a restart.
+    #[schemars(range(min = 1.0, max = 100_000.0), extend("x-since" = "0.3", "x-apply" = "restart", "x-unit" = "attempts"))]
     pub start: f64,
     /// Never more. At most 100,000.
+    #[schemars(range(min = 1.0, max = 100_000.0), extend("x-since" = "0.3", "x-apply" = "restart", "x-unit" = "attempts"))]
     pub ceiling: f64,
     /// Answers may take this many times as long as the node's own baseline before its room shrinks. 1.1 to 10.
+    #[schemars(range(min = 1.1, max = 10.0), extend("x-since" = "0.3", "x-apply" = "restart", "x-unit" = "times the baseline"))]
     pub tolerance: f64,
 }
 
@@ -47,16 +53,19 @@
 }
 
 /// Bounds of a node's queue.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct QueueRules {
     /// So many wait at most; 0: nobody waits, and what finds no room is turned away at once.
+    #[schemars(range(min = 0, max = 4096), extend("x-since" = "0.3", "x-apply" = "restart", "x-unit" = "attempts"))]
     pub most: usize,
     /// The longest wait where the queue runs empty now and then.
     #[serde(with = "humantime_serde")]
+    #[schemars(with = "String", extend("x-since" = "0.3", "x-apply" = "restart", "x-kind" = "duration", "x-least" = "1ns", "x-most" = "10s"))]
     pub interval: Duration,
     /// The longest wait where it has not been empty for an interval.
     #[serde(with = "humantime_serde")]
+    #[schemars(with = "String", extend("x-since" = "0.3", "x-apply" = "restart", "x-kind" = "duration", "x-least" = "1ns", "x-most" = "10s"))]
     pub target: Duration,
 }
 
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -40,12 +40,16 @@
     Evacuate,
     /// The drain is over.
     Rejoin,
+    /// Which program and which configuration is this?
+    Version,
 }
 
 /// The answer to a call.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Verdict {
     Yes,
+    /// The answer is this JSON.
+    Told(String),
     /// The call can't be read, or is too long.
     Bad(&'static str),
     /// There is no such path, or no such cache node.
@@ -64,7 +68,7 @@
 {
     let listener = TcpListener::bind(addr).await.map_err(|e| format!("PROXY_MGMT: {addr}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("PROXY_MGMT: {addr}: {e}"))?;
-    super::log(format_args!("operators call at {bound}"));
+    tracing::info!("operators call at {bound}");
     tokio::task::spawn_local(take_all(listener, Rc::new(act)));
     Ok(())
 }
@@ -87,7 +91,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                super::log(format_args!("operators' door: accept: {e}"));
+                tracing::warn!("operators' door: accept: {e}");
                 sleep(Duration::from_millis(20)).await;
                 continue;
             }
@@ -131,13 +135,13 @@
     let verdict = match read {
         Ok(call) => {
             let verdict = act(call.clone()).await;
-            if call != Call::Ready {
-                super::log(format_args!("operators' call {call:?}: {verdict:?}"));
+            if !matches!(call, Call::Ready | Call::Version) {
+                tracing::info!("operators' call {call:?}: {verdict:?}");
             }
             verdict
         }
         Err(verdict) => {
-            super::log(format_args!("operators' call that is none: {verdict:?}"));
+            tracing::info!("operators' call that is none: {verdict:?}");
             verdict
         }
     };
@@ -148,8 +152,13 @@
 }
 
 fn worded(verdict: Verdict) -> String {
+    let mut told = None;
     let (status, more, why) = match verdict {
         Verdict::Yes => ("200 OK", String::new(), ""),
+        Verdict::Told(json) => {
+            told = Some(json);
+            ("200 OK", String::new(), "")
+        }
         Verdict::Bad(why) => ("400 Bad Request", String::new(), why),
         Verdict::Unknown(why) => ("404 Not Found", String::new(), why),
         Verdict::Only(method) => {
@@ -158,7 +167,7 @@
         Verdict::Unready(why) => ("503 Service Unavailable", String::new(), why),
     };
     let body = match why {
-        "" => "{\"ok\":true}\n".to_owned(),
+        "" => told.map_or("{\"ok\":true}\n".to_owned(), |json| json + "\n"),
         // The reasons are texts of this program, without anything that JSON would have to hide.
         why => format!("{{\"ok\":false,\"why\":\"{why}\"}}\n"),
     };
@@ -184,7 +193,7 @@
     let target = head.path.unwrap_or("");
     let path = target.split_once('?').map_or(target, |(path, _)| path);
     let takes = match path {
-        "/api/ready" => "GET",
+        "/api/ready" | "/api/version" => "GET",
         "/api/exclude" | "/api/include" | "/api/evacuate" | "/api/rejoin" => "POST",
         _ => return Some(Err(Verdict::Unknown("no such path"))),
     };
@@ -197,6 +206,7 @@
     };
     Some(match path {
         "/api/ready" => Ok(Call::Ready),
+        "/api/version" => Ok(Call::Version),
         "/api/evacuate" => Ok(Call::Evacuate),
         "/api/rejoin" => Ok(Call::Rejoin),
         "/api/exclude" => id(&body).map(Call::Exclude),
@@ -279,6 +289,7 @@
                        5\r\n{\"id\"\r\n5;x=1\r\n:\"a\"}\r\n0\r\n\r\n";
         let cases = [
             ("GET /api/ready HTTP/1.1\r\n\r\n".to_owned(), Call::Ready),
+            ("GET /api/version HTTP/1.1\r\n\r\n".to_owned(), Call::Version),
             ("GET /api/ready?now HTTP/1.0\r\nHost: a\r\n\r\n".to_owned(), Call::Ready),
             (post("/api/exclude", "{\"id\":\"a b\",\"more\":1}"), Call::Exclude("a b".into())),
             (chunked.to_owned(), Call::Include("a".into())),
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -34,8 +34,8 @@
 pub struct Names {
     pub classes: Vec<String>,
     pub tenants: Vec<String>,
-    zones: Vec<String>,
-    kinds: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
 }
 
 /// A list of cache nodes in discovery's form.
@@ -113,7 +113,7 @@
         Self::parse(&text, variable).map_err(|e| format!("PROXY_CONFIG: {path}: {e}"))
     }
 
-    fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
+    pub fn parse(text: &str, variable: impl Fn(&str) -> Option<String>) -> Result<Self, String> {
         let root: Value = serde_json::from_str(text).map_err(|e| format!("not JSON: {e}"))?;
         let may = |name: &str, field: &str| {
             let told = match (variable(name), &root[field]) {
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -12,6 +12,8 @@
     engine: Rc<Engine>,
     drain: Rc<Drain>,
     store: Store,
+    /// What a call for the version is told, but for what changes.
+    about: serde_json::Value,
     /// The orders carried out.
     done: RefCell<Orders>,
     /// Whether clients are let in.
@@ -20,9 +22,9 @@
 
 impl Control {
     /// Begins with the orders that another process left.
-    pub fn new(engine: Rc<Engine>, drain: Rc<Drain>, store: Store) -> Rc<Self> {
+    pub fn new(engine: Rc<Engine>, drain: Rc<Drain>, store: Store, about: serde_json::Value) -> Rc<Self> {
         let (done, serving) = (RefCell::default(), Cell::new(false));
-        let control = Control { engine, drain, store, done, serving };
+        let control = Control { engine, drain, store, about, done, serving };
         control.look();
         Rc::new(control)
     }
@@ -31,7 +33,7 @@
     pub fn look(&self) {
         if self.store.look() {
             let orders = self.store.orders();
-            super::log(format_args!("operators' orders: drain {}, out {:?}", orders.drain, orders.bans));
+            tracing::info!("operators' orders: drain {}, out {:?}", orders.drain, orders.bans);
             self.carry_out();
         }
     }
@@ -43,6 +45,7 @@
                 Verdict::Unready("no cache node takes work yet")
             }
             Call::Ready => Verdict::Yes,
+            Call::Version => Verdict::Told(self.version().to_string()),
             Call::Exclude(id) => self.ban(id, true).await,
             Call::Include(id) => self.ban(id, false).await,
             Call::Evacuate => self.order(|orders| orders.drain = true).await,
@@ -50,6 +53,14 @@
         }
     }
 
+    fn version(&self) -> serde_json::Value {
+        let mut about = self.about.clone();
+        if let (Some((waiting, turned)), Some(about)) = (self.engine.queued(), about.as_object_mut()) {
+            about.insert("limits".into(), serde_json::json!({ "waiting": waiting, "turned": turned }));
+        }
+        about
+    }
+
     async fn ban(&self, id: String, out: bool) -> Verdict {
         // What another process took out may have left the list before this one began.
         self.look();
@@ -68,7 +79,7 @@
 
     async fn order(&self, change: impl FnOnce(&mut Orders)) -> Verdict {
         if let Err(e) = self.store.change(change).await {
-            super::log(format_args!("operators' order not kept: {e}"));
+            tracing::error!("operators' order not kept: {e}");
             return Verdict::Unready("the order could not be kept");
         }
         self.carry_out();
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -94,7 +94,7 @@
                     engine.list(kind, &self.names.entries(&members));
                 }
                 Err(e) => {
-                    super::log(format_args!("discovery at {}: {e}", self.addr));
+                    tracing::warn!("discovery at {}: {e}", self.addr);
                     self.sender = None;
                     // Danger: the module's waits after a failure are made for a discovery that is down, and are
                     // longer than the time in which the news of a new one must be known.
@@ -117,7 +117,7 @@
 
     /// From here on asks at this address, for the whole list first: its versions may be other ones.
     fn move_to(&mut self, addr: SocketAddr) {
-        super::log(format_args!("discovery is now at {addr}"));
+        tracing::info!("discovery is now at {addr}");
         (self.addr, self.version, self.sender, self.again) = (addr, None, None, Some(AGAIN));
     }
 
--- a/crates/proxy/src/drain.rs
+++ b/crates/proxy/src/drain.rs
@@ -24,7 +24,10 @@
             return false;
         }
         self.called.set(on.then(Instant::now));
-        super::log(if on { "drain: called by the operators" } else { "drain: ended by the operators" });
+        tracing::info!(
+            "{}",
+            if on { "drain: called by the operators" } else { "drain: ended by the operators" }
+        );
         true
     }
 
--- a/crates/proxy/src/front/accept.rs
+++ b/crates/proxy/src/front/accept.rs
@@ -31,7 +31,7 @@
             Ok((stream, _)) => stream,
             Err(e) => {
                 // Danger: without descriptors accept fails at once, and again, and again.
-                crate::log(format_args!("accept: {e}"));
+                tracing::warn!("accept: {e}");
                 self.upstreams.yield_idle();
                 sleep(Duration::from_millis(10)).await;
                 return;
--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -116,7 +116,7 @@
         }
         Answer::Failed => plain(StatusCode::BAD_GATEWAY, "failed"),
         Answer::Overdue => {
-            crate::log("a request was left unanswered until its deadline");
+            tracing::warn!("a request was left unanswered until its deadline");
             plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
         }
     }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -14,12 +14,12 @@
 use crate::control::Control;
 use crate::discovery::{self, Discovery};
 use crate::drain::Drain;
-use crate::operator::Operator;
 use crate::peers::Peers;
 use crate::socket::Descriptors;
 use crate::state::Store;
 use crate::upstream::Upstreams;
-use crate::{admin, handover, operator, Engine};
+use crate::{admin, handover, Engine};
+use aniseyoke_core::limits::Rules;
 use aniseyoke_core::Limits;
 use aniseyoke_decision::api;
 use client::Client;
@@ -64,10 +64,22 @@
     left: Notify,
 }
 
+/// What the operator sets beyond the platform's settings.
+pub struct Beyond {
+    /// What may be out at nodes, where that is limited.
+    pub limits: Option<Rules>,
+    /// What a call for the version is told.
+    pub about: serde_json::Value,
+    /// Called once a second.
+    pub each_second: Box<dyn Fn()>,
+    /// Called when the platform's file is to be read again.
+    pub reread: Box<dyn Fn()>,
+}
+
 /// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
 pub async fn run(
     config: Config,
-    operator: Operator,
+    beyond: Beyond,
     stop: impl Future<Output = ()>,
     mut hangup: Signal,
 ) -> Result<(), String> {
@@ -80,7 +92,7 @@
     };
     let listener = listener.map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
     let bound = listener.local_addr().map_err(|e| format!("PROXY_LISTEN: {listen}: {e}"))?;
-    crate::log(format_args!("{} on {bound}", if handed { "handover: listening" } else { "listening" }));
+    tracing::info!("{} on {bound}", if handed { "handover: listening" } else { "listening" });
     let dir = std::env::var_os("TMPDIR").filter(|dir| !dir.is_empty()).map(std::path::PathBuf::from);
     let living = Peers::join(dir.clone());
     let (door, door_memory) = config.mgmt.map_or((0, 0), |_| (admin::DESCRIPTORS, admin::MEMORY));
@@ -101,8 +113,8 @@
     let (addr, names) = (config.discovery, Rc::new(config.names));
     let discovery = Discovery::new(addr, version, settings.must_ask_in, names.clone());
     let known = config.known.as_ref().map_or_else(Vec::new, |known| names.entries(known));
-    let held = operator.limits.map(|rules| Limits::new(rules, &config.settings)).transpose();
-    let held = held.map_err(|fault| format!("{}: {fault}", operator::FILE))?;
+    let held = beyond.limits.map(|rules| Limits::new(rules, &config.settings)).transpose();
+    let held = held.map_err(|fault| fault.to_string())?;
     let engine = Engine::new(config.settings, config.seed, &known, upstreams.clone(), watch, held);
     let (moves, moved) = mpsc::unbounded_channel();
     tokio::task::spawn_local(discovery.follow(engine.clone(), asked, moved));
@@ -111,8 +123,9 @@
             match Config::again() {
                 // The receiver is gone only when the proxy ends.
                 Ok(config) => drop(moves.send(config.discovery)),
-                Err(e) => crate::log(format_args!("the settings stay as they are: {e}")),
+                Err(e) => tracing::warn!("the settings stay as they are: {e}"),
             }
+            (beyond.reread)();
         }
     });
     let sweeper = upstreams.clone();
@@ -120,6 +133,7 @@
         loop {
             sleep(Duration::from_secs(1)).await;
             sweeper.sweep();
+            (beyond.each_second)();
         }
     });
     let server = Rc::new(Server {
@@ -144,7 +158,7 @@
         }
     });
     if mgmt.is_some() && dir.is_none() {
-        crate::log("TMPDIR is not set: what operators order ends with this process");
+        tracing::warn!("TMPDIR is not set: what operators order ends with this process");
     }
     let crowded = server.clone();
     tokio::task::spawn_local(async move {
@@ -153,7 +167,7 @@
             crowded.thin();
         }
     });
-    let control = Control::new(engine.clone(), drain, Store::open(dir));
+    let control = Control::new(engine.clone(), drain, Store::open(dir), beyond.about);
     if let Some(mgmt) = mgmt {
         let control = control.clone();
         let act = move |call| {
@@ -205,7 +219,7 @@
             self.descriptors.limit(most);
         }
         if self.others.replace(others.len()) != others.len() {
-            crate::log(format_args!("{} other processes live: {most} connections at most", others.len()));
+            tracing::info!("{} other processes live: {most} connections at most", others.len());
         }
         while self.descriptors.used() > most && self.upstreams.yield_idle() {}
     }
@@ -216,6 +230,6 @@
         while !(self.engine.can_serve() && (self.engine.told() || start.elapsed() > TOLD_WITHIN)) {
             sleep(TOLD_AGAIN).await;
         }
-        crate::log("handover: clients are let in");
+        tracing::info!("handover: clients are let in");
     }
 }
--- a/crates/proxy/src/front/stop.rs
+++ b/crates/proxy/src/front/stop.rs
@@ -19,7 +19,7 @@
     /// Answers what comes and asks clients away while idle connections end, and waits for the rest.
     /// Of a socket that was handed over nothing more is taken: what waits there is for the successor.
     pub(super) async fn stop(self: &Rc<Self>, listener: TcpListener, handed: bool) {
-        crate::log("draining");
+        tracing::info!("draining");
         self.drain.stop();
         let start = Instant::now();
         let mut until = start + ACCEPT_FOR;
@@ -36,7 +36,7 @@
             tokio::select! {
                 () = self.left.notified() => {}
                 () = sleep_until(end) => {
-                    crate::log("ended with clients still connected");
+                    tracing::warn!("ended with clients still connected");
                     return;
                 }
             }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod admin;
 mod budget;
+pub mod cli;
 pub mod config;
 pub mod control;
 pub mod discovery;
@@ -15,6 +16,7 @@
 mod relay;
 #[cfg(test)]
 mod scratch;
+mod serve;
 mod socket;
 mod state;
 mod upload;
@@ -22,10 +24,6 @@
 
 use http_body_util::Full;
 use hyper::body::Bytes;
-use std::io::Write as _;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::OnceLock;
-use std::time::Instant;
 
 /// Bodies and answers up to this length are held whole; beyond it they are passed on as they come.
 const BODY_MOST: usize = 64 << 10;
@@ -40,16 +38,3 @@
 pub type Engine = aniseyoke_core::Engine<upstream::Upstreams>;
 /// A body that is held whole.
 type Body = Full<Bytes>;
-
-/// Writes a line about something rare to standard error. Danger: a fault that repeats with every request would
-/// fill memory or block the one thread, so after the first lines only one a second is kept.
-pub fn log(line: impl std::fmt::Display) {
-    const MOST: u64 = 500;
-    static START: OnceLock<Instant> = OnceLock::new();
-    static WRITTEN: AtomicU64 = AtomicU64::new(0);
-    let room = MOST + START.get_or_init(Instant::now).elapsed().as_secs();
-    if WRITTEN.load(Ordering::Relaxed) < room {
-        WRITTEN.fetch_add(1, Ordering::Relaxed);
-        let _ = writeln!(std::io::stderr(), "aniseyoke: {line}");
-    }
-}
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -30,7 +30,7 @@
         };
         let mine = dir.as_deref().and_then(take);
         if dir.is_some() && mine.is_none() {
-            super::log("no place among the processes of this proxy: it counts itself as alone");
+            tracing::warn!("no place among the processes of this proxy: it counts itself as alone");
         }
         Peers { dir, mine }
     }
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -121,7 +121,7 @@
             Kind::Relay(relay) => ready!(relay.poll_data(cx)),
         };
         if let Some(Err(e)) = &next {
-            super::log(format_args!("an answer broke off on its way: {e}"));
+            tracing::info!("an answer broke off on its way: {e}");
         }
         Poll::Ready(next.map(|data| data.map(Frame::data)))
     }
--- /dev/null
+++ b/crates/proxy/src/serve.rs
@@ -0,0 +1,87 @@
+//! Starts the proxy as the environment and the operator's file say, rereads both on SIGHUP, and ends it on SIGTERM or SIGINT.
+
+use crate::config::Config;
+use crate::front::Beyond;
+use crate::{front, operator};
+use aniseyoke_config::layers::Resolved;
+use aniseyoke_config::Fault;
+use aniseyoke_logging::Handle;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::LocalSet;
+
+/// Serves until it is told to end. What keeps it from starting is told on standard error, a line each.
+pub fn run(file: Option<PathBuf>) -> ExitCode {
+    let file = file.filter(|file| !file.as_os_str().is_empty());
+    let served = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let served = served
+        .map_err(|e| vec![e.to_string()])
+        .and_then(|runtime| LocalSet::new().block_on(&runtime, serve(file)));
+    match served {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(why) => {
+            // The log may not have been started.
+            why.iter().for_each(|why| eprintln!("aniseyoke: {why}"));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn told(faults: &[Fault]) -> Vec<String> {
+    faults.iter().map(ToString::to_string).collect()
+}
+
+async fn serve(file: Option<PathBuf>) -> Result<(), Vec<String>> {
+    let one = |e: String| vec![e];
+    // Danger: until it is handled this signal ends the process.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| one(format!("SIGHUP: {e}")))?;
+    let resolved = operator::read(file.as_deref()).map_err(|faults| told(&faults))?;
+    let log = aniseyoke_logging::start(&operator::log_options(&resolved.operator.log)).map_err(one)?;
+    let mut config = Config::from_env().map_err(one)?;
+    operator::apply(&resolved, &mut config).map_err(|faults| told(&faults))?;
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| one(format!("SIGTERM: {e}")))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| one(format!("SIGINT: {e}")))?;
+    let stop = async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    };
+    let log = Rc::new(log);
+    let (each_second, again) = (log.clone(), log.clone());
+    let beyond = Beyond {
+        limits: resolved.operator.limits.clone(),
+        about: about(&resolved, file.as_deref()),
+        each_second: Box::new(move || each_second.tell_left_out()),
+        reread: Box::new(move || reread(&resolved, file.as_deref(), &again)),
+    };
+    front::run(config, beyond, stop, hangup).await.map_err(one)
+}
+
+/// What a call for the version is told.
+fn about(resolved: &Resolved, file: Option<&Path>) -> serde_json::Value {
+    serde_json::json!({
+        "program": env!("CARGO_PKG_VERSION"),
+        "configuration": resolved.digest(),
+        "file": file.map(|file| file.display().to_string()),
+    })
+}
+
+/// Takes over what may change while the proxy runs, and names what waits for a restart. Danger: a file with a slip in
+/// it must not take a proxy down that serves.
+fn reread(started: &Resolved, file: Option<&Path>, log: &Handle) {
+    match operator::read(file) {
+        Ok(now) => {
+            log.set_levels(&operator::log_levels(&now.operator.log));
+            let waiting = operator::waiting(&started.operator, &now.operator);
+            if !waiting.is_empty() {
+                tracing::warn!("these changes wait for a restart: {}", waiting.join(", "));
+            }
+        }
+        Err(faults) => {
+            faults.iter().for_each(|fault| tracing::warn!("the operator's file stays as it was: {fault}"));
+        }
+    }
+}
--- a/crates/proxy/src/state.rs
+++ b/crates/proxy/src/state.rs
@@ -64,7 +64,7 @@
             Ok(Some(orders)) => self.held.replace(orders.clone()) != orders,
             Ok(None) => false,
             Err(e) => {
-                super::log(format_args!("operators' orders stay as they are: {e}"));
+                tracing::warn!("operators' orders stay as they are: {e}");
                 false
             }
         }
@@ -78,7 +78,7 @@
         };
         let _lock = lock(dir).await?;
         let before = read(dir).unwrap_or_else(|e| {
-            super::log(format_args!("operators' orders are written anew: {e}"));
+            tracing::warn!("operators' orders are written anew: {e}");
             None
         });
         let mut orders = before.clone().unwrap_or_else(|| self.orders());
