Put versions from a control service in force between two events of the core

Need: roster and rules reached a proxy by restart alone, and a restart is when it loses state.

Change: the proxy follows the services that its file names; a version is read and checked off the serving thread, laid over file and environment, judged against what runs (last node of a class, share of a tenant), and swapped between two events; open requests keep the settings they came under.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -31,6 +31,8 @@
 const FAULTS_MOST: usize = 100;
 /// A name this similar to a key that is known is taken for a slip (Jaro and Winkler, 0 to 1).
 const SIMILAR: f64 = 0.75;
+/// The same by Damerau and Levenshtein.
+const SWAPPED: f64 = 0.6;
 
 /// A text, parsed as far as it can be, with what is wrong with it.
 pub struct Checked {
@@ -211,7 +213,12 @@
 
 fn unknown(node: &Value, name: &str) -> String {
     let known = || node["properties"].as_object().into_iter().flatten().map(|(known, _)| known.as_str());
-    let near = known().map(|known| (strsim::jaro_winkler(known, name), known));
+    // The one sees slips in long names, the other letters that changed places in short ones.
+    let alike = |known: &str| {
+        let swapped = strsim::normalized_damerau_levenshtein(known, name) + SIMILAR - SWAPPED;
+        strsim::jaro_winkler(known, name).max(swapped)
+    };
+    let near = known().map(|known| (alike(known), known));
     let near = near.filter(|(alike, _)| *alike >= SIMILAR).max_by(|a, b| a.0.total_cmp(&b.0));
     match near {
         Some((_, near)) => format!("there is no such key; did you mean {near:?}?"),
@@ -244,7 +251,7 @@
             "f.toml:4:10: log.format: \"xml\" is none of plain, json",
             "f.toml:6:12: limits.queue.interval: a text with a time and its unit, such as \"100ms\" is wanted, not a whole number",
             "f.toml:7:10: limits.queue.target: \"5\" is no time with a unit",
-            "f.toml:8:2: nothing: there is no such key; there is limits, log, pools, routes, tenants",
+            "f.toml:8:2: nothing: there is no such key; there is control, limits, log, pools, routes, tenants",
         ];
         assert_eq!(told.len(), wanted.len(), "{told:#?}");
         for want in wanted {
--- a/crates/config/src/explain.rs
+++ b/crates/config/src/explain.rs
@@ -27,7 +27,8 @@
 
 fn default(key: &Key) -> Option<Value> {
     // A part that is off has its defaults once it is named.
-    let on = Operator { limits: Some(Default::default()), ..Operator::default() };
+    let (limits, control) = (Some(Default::default()), Some(Default::default()));
+    let on = Operator { limits, control, ..Operator::default() };
     let mut at = &serde_json::to_value(on).ok()?;
     for step in key.path.split('.') {
         at = at.get(step)?;
--- a/crates/config/src/layers.rs
+++ b/crates/config/src/layers.rs
@@ -120,7 +120,7 @@
         let checked = match layer {
             Source::File(name, text) => check(text, name, true),
             Source::Variable(name, value) => check(&assignment(name, value), &format!("${name}"), false),
-            Source::Service(version, text) => check(text, &Origin::Service(*version).to_string(), true),
+            Source::Service(version, text) => check(text, &Origin::Service(*version).to_string(), false),
         };
         faults.extend(checked.faults);
         for (key, at) in checked.places {
@@ -133,6 +133,14 @@
         }
         merge(&mut table, checked.table);
     }
+    // Danger: a version that says which services are followed could cut its proxies off from all of them.
+    for (key, origin) in origins.range("control".to_owned()..) {
+        if let ("control", Origin::Service(_)) = (key.split('.').next().unwrap_or_default(), origin) {
+            let why = "a control service may not set which services are followed".to_owned();
+            faults.push(Fault { place: origin.to_string(), key: key.clone(), why });
+            break;
+        }
+    }
     if !faults.is_empty() {
         return Err(faults);
     }
@@ -234,6 +242,14 @@
         assert_ne!(digest(""), digest("log.burst = 7"));
     }
 
+    #[test]
+    fn a_control_service_may_not_say_which_services_are_followed() {
+        let text = "[control]\nservices = [\"127.0.0.1:1\"]";
+        assert!(resolve(&[file(text)]).is_ok());
+        let faults = resolve(&[Source::Service(3, text.into())]).expect_err("refused");
+        assert_eq!((faults[0].key.as_str(), faults.len()), ("control", 1));
+    }
+
     fn some_log() -> impl Strategy<Value = String> {
         let level = prop::option::of(prop::sample::select(vec!["off", "error", "warn", "info"]));
         let number = || prop::option::of(1u32..1000);
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -4,6 +4,8 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 
 /// All that an operator may set. A part that is left out is off.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -15,6 +17,11 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
     pub limits: Option<Rules>,
+    /// Services that publish versions of this configuration; off where it is not named. Set in the file or the
+    /// environment alone.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub control: Option<Control>,
     /// Tenants by the name that the platform gives them.
     pub tenants: BTreeMap<String, Tenant>,
     /// Named parts of the fleet, which routes point to.
@@ -51,6 +58,26 @@
     }
 }
 
+/// The control services that a proxy follows.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Control {
+    /// Addresses of services, tried in turn.
+    #[schemars(with = "Vec<String>", extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub services: Vec<SocketAddr>,
+    /// The name of this proxy to them, the same after a restart; without it the address where it takes clients.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub instance: Option<String>,
+    /// What operators call this proxy by in rollouts.
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub labels: BTreeMap<String, String>,
+    /// A folder that keeps the last good version over restarts; without it a restart waits for a service.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub dir: Option<PathBuf>,
+}
+
 /// The form of a log line.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "lowercase")]
@@ -121,11 +148,15 @@
         if let Some(rules) = &self.limits {
             faults.extend(rules.faults().into_iter().map(|f| (format!("limits.{}", f.key), f.why)));
         }
+        if self.control.as_ref().is_some_and(|c| c.services.is_empty()) {
+            faults.push(("control.services".into(), "no service is named".into()));
+        }
         for (name, pool) in &self.pools {
             if pool.zones.is_empty() && pool.kinds.is_empty() {
                 faults.push((format!("pools.{name}"), "it names no zones and no kinds".into()));
             }
         }
+        let mut first = BTreeMap::new();
         for (n, route) in self.routes.iter().enumerate() {
             if !self.pools.contains_key(&route.pool) {
                 let known: Vec<&str> = self.pools.keys().map(String::as_str).collect();
@@ -135,8 +166,8 @@
             if route.class.is_none() {
                 faults.push((format!("routes.{n}"), "it has no condition".into()));
             }
-            let same = |r: &Route| r.class == route.class;
-            if let Some(earlier) = self.routes[..n].iter().position(same) {
+            if let Some(earlier) = first.insert(&route.class, n) {
+                first.insert(&route.class, earlier);
                 faults.push((format!("routes.{n}"), format!("route {earlier} takes all that would fit it")));
             }
         }
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -20,6 +20,8 @@
     pub boot: u64,
     /// What operators call it by in rollouts.
     pub labels: BTreeMap<String, String>,
+    /// Longer frames it does not read, in bytes.
+    pub frame_most: usize,
 }
 
 /// Times of a follower.
@@ -151,9 +153,13 @@
             return;
         }
         self.link = Link::Up { heard: now, said: now };
-        let Identity { instance, boot, labels } = self.identity.clone();
+        let Identity { instance, boot, labels, frame_most } = self.identity.clone();
         let running = self.running.as_ref().map(|v| (v.stamp, v.digest.clone()));
-        self.send(now, FromProxy::Hello { protocol: PROTOCOL, instance, boot, labels, running }, actions);
+        self.send(
+            now,
+            FromProxy::Hello { protocol: PROTOCOL, instance, boot, labels, frame_most, running },
+            actions,
+        );
     }
 
     /// The connection could not be made, or has ended.
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -1,5 +1,7 @@
 //! What goes over the wire: frames of a length and a JSON text.
 
+use crate::publisher::Row;
+use crate::rollout::Plan;
 use crate::version::Stamp;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -26,6 +28,8 @@
         boot: u64,
         /// What operators call it by in rollouts.
         labels: BTreeMap<String, String>,
+        /// Longer frames it does not read, in bytes.
+        frame_most: usize,
         /// The stamp and the digest of what it runs, if a service ever told it.
         running: Option<(Stamp, String)>,
     },
@@ -96,6 +100,60 @@
     },
 }
 
+/// From an operator's tool, one a connection.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum FromOperator {
+    /// Publish a body as the newest version.
+    Publish {
+        /// The operator's file as JSON.
+        body: Value,
+        /// How it is brought out.
+        #[serde(default)]
+        plan: Plan,
+    },
+    /// Publish what an earlier version said as the newest.
+    RollBack {
+        /// The earlier version.
+        to: Stamp,
+        /// How it is brought out.
+        #[serde(default)]
+        plan: Plan,
+    },
+    /// Let nobody else have the newest.
+    Halt {
+        /// Why.
+        why: String,
+    },
+    /// Tell who runs what.
+    Status,
+}
+
+/// A service's answer to an operator.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "type", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum ToOperator {
+    /// It is published.
+    Published {
+        /// As this version.
+        stamp: Stamp,
+    },
+    /// It was not done.
+    No {
+        /// Why.
+        why: String,
+    },
+    /// Who runs what.
+    Status {
+        /// The newest version.
+        newest: Option<Stamp>,
+        /// How far it has come.
+        rollout: Option<String>,
+        /// All proxies that are connected.
+        proxies: Vec<Row>,
+    },
+}
+
 /// The version of this protocol.
 pub const PROTOCOL: u32 = 1;
 
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -1,9 +1,10 @@
 //! A service's side: versions, who runs which, and who is sent what. No I/O, no clock.
 
-use crate::frame::{encode, FromProxy, FromService, Malformed, PROTOCOL};
+use crate::frame::{encode, FromProxy, FromService, Malformed, HEAD, PROTOCOL};
 use crate::rollout::{Answers, Plan, Rollout, State};
 use crate::version::{Stamp, Version};
 use rustc_hash::FxHashMap;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
@@ -43,7 +44,7 @@
 }
 
 /// What a proxy runs, as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Row {
     /// Its name.
     pub instance: String,
@@ -61,6 +62,7 @@
     instance: String,
     boot: u64,
     labels: BTreeMap<String, String>,
+    frame_most: usize,
     running: Option<(Stamp, String)>,
     /// Sent, and not answered yet.
     sent: Option<Stamp>,
@@ -202,9 +204,10 @@
 
     /// A proxy has connected and said who it is, or anything else. What is to be sent is appended to `out`.
     pub fn frame(&mut self, now: Nanos, id: Id, frame: FromProxy, out: &mut Vec<Outgoing>) {
-        if let FromProxy::Hello { protocol, instance, boot, labels, running } = frame {
-            self.hello(now, id, (protocol, instance, boot, labels, running), out);
-            return;
+        if let FromProxy::Hello { protocol, instance, boot, labels, frame_most, running } = frame {
+            let (sent, refused, heard, said) = (None, None, now, now);
+            let s = Subscriber { instance, boot, labels, frame_most, running, sent, refused, heard, said };
+            return self.hello(now, id, protocol, s, out);
         }
         let Some(s) = self.subscribers.get_mut(&id) else {
             return goodbye(id, "the first frame is to be hello", out);
@@ -247,26 +250,13 @@
         }
     }
 
-    #[allow(clippy::type_complexity)]
-    fn hello(
-        &mut self,
-        now: Nanos,
-        id: Id,
-        (protocol, instance, boot, labels, running): (
-            u32,
-            String,
-            u64,
-            BTreeMap<String, String>,
-            Option<(Stamp, String)>,
-        ),
-        out: &mut Vec<Outgoing>,
-    ) {
+    fn hello(&mut self, now: Nanos, id: Id, protocol: u32, s: Subscriber, out: &mut Vec<Outgoing>) {
         let long = |text: &str| text.len() > NAME_MOST;
         let why = if protocol != PROTOCOL {
             Some(format!("this service speaks version {PROTOCOL} of the protocol, not {protocol}"))
-        } else if instance.is_empty() || long(&instance) {
+        } else if s.instance.is_empty() || long(&s.instance) {
             Some("the name of the instance is empty or too long".to_owned())
-        } else if labels.len() > LABELS_MOST || labels.iter().any(|(k, v)| long(k) || long(v)) {
+        } else if s.labels.len() > LABELS_MOST || s.labels.iter().any(|(k, v)| long(k) || long(v)) {
             Some("too many labels, or too long ones".to_owned())
         } else if self.subscribers.len() >= SUBSCRIBERS && !self.subscribers.contains_key(&id) {
             Some(format!("{SUBSCRIBERS} proxies are served, and no more"))
@@ -277,9 +267,7 @@
             self.subscribers.remove(&id);
             return goodbye(id, &why, out);
         }
-        let (sent, refused, heard, said) = (None, None, now, now);
-        self.subscribers
-            .insert(id, Subscriber { instance, boot, labels, running, sent, refused, heard, said });
+        self.subscribers.insert(id, s);
         self.send(now, id, false, out);
         if let Some(s) = self.subscribers.get(&id).filter(|s| s.sent.is_none()) {
             if let Some((stamp, _)) = s.running {
@@ -311,10 +299,19 @@
                 bytes
             }
         };
-        out.push(Outgoing { to: id, bytes, last: false });
-        if let Some(s) = self.subscribers.get_mut(&id) {
-            (s.sent, s.said) = (Some(wanted), now);
+        let Some(s) = self.subscribers.get_mut(&id) else { return };
+        // Danger: a proxy with little memory would end the connection over it, again and again.
+        if bytes.len() > s.frame_most.saturating_add(HEAD) {
+            let why =
+                format!("{} bytes are more than the {} that it reads", bytes.len() - HEAD, s.frame_most);
+            if let Some(rollout) = self.rollout.as_mut().filter(|r| r.stamp() == wanted) {
+                rollout.refused(&s.instance, &why);
+            }
+            s.refused = Some((wanted, vec![why]));
+            return;
         }
+        (s.sent, s.said) = (Some(wanted), now);
+        out.push(Outgoing { to: id, bytes, last: false });
     }
 
     /// Sends everybody what they are to run now.
--- a/crates/control/src/publisher/tests.rs
+++ b/crates/control/src/publisher/tests.rs
@@ -28,7 +28,12 @@
 impl Net {
     fn new(count: usize) -> Self {
         let follower = |n: usize| {
-            let identity = Identity { instance: format!("proxy-{n}"), boot: 1, ..Identity::default() };
+            let identity = Identity {
+                instance: format!("proxy-{n}"),
+                boot: 1,
+                frame_most: FRAME_MOST,
+                ..Identity::default()
+            };
             Follower::new(identity, 1, None, Times::default(), n as u64)
         };
         let mut net = Net {
@@ -193,7 +198,8 @@
     net.bad = Some(2);
     net.publish(2, staged(&[50, 100]));
     net.bad = None;
-    let identity = Identity { instance: "late".into(), boot: 2, ..Identity::default() };
+    let identity =
+        Identity { instance: "late".into(), boot: 2, frame_most: FRAME_MOST, ..Identity::default() };
     net.followers.push(Follower::new(identity, 1, None, Times::default(), 9));
     net.join(50);
     assert_eq!(net.running()[50], Some(1));
@@ -209,6 +215,7 @@
         instance: instance.into(),
         boot: 1,
         labels: BTreeMap::new(),
+        frame_most: FRAME_MOST,
         running: None,
     };
     publisher.frame(0, 2, hello(9, "a"), &mut out);
@@ -220,6 +227,21 @@
     assert_eq!(publisher.rows(), []);
 }
 
+/// Danger: 10 MB for a proxy that has 32.
+#[test]
+fn a_version_too_long_for_a_proxy_is_not_sent_to_it_and_halts_its_rollout() {
+    let mut net = Net::new(1);
+    net.publish(1, Plan::default());
+    let identity = Identity { instance: "small".into(), boot: 1, frame_most: 1000, ..Identity::default() };
+    net.followers.push(Follower::new(identity, 1, None, Times::default(), 9));
+    net.tick();
+    assert_eq!(net.running(), [Some(1), None]);
+    let row = net.publisher.rows().into_iter().find(|r| r.instance == "small").expect("connected");
+    assert!(row.refused.is_some_and(|(_, why)| why[0].contains("more than the 1000")));
+    net.publish(2, staged(&[100]));
+    assert!(matches!(net.publisher.rollout(), Some(State::Halted(why)) if why.contains("small")));
+}
+
 #[test]
 fn old_versions_are_forgotten_but_for_the_one_to_go_back_to() {
     let mut net = Net::new(1);
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -100,6 +100,16 @@
     Halted(String),
 }
 
+impl fmt::Display for State {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            State::Stage(n) => write!(f, "stage {n}"),
+            State::Everybody => f.write_str("everybody"),
+            State::Halted(why) => write!(f, "halted: {why}"),
+        }
+    }
+}
+
 /// Answers under one of the two versions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Answers {
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::{margin, Clock};
 use crate::fleet::{Ended, Fleet, Job, Tether};
-use crate::limits::{self, Limits, Verdict};
+use crate::limits::{self, Limits, Rules, Verdict};
 use crate::listed::Listed;
 use crate::ticket::{Answer, Ticket};
 use aniseyoke_decision::api::*;
@@ -72,6 +72,8 @@
     pending: FxHashMap<RequestId, Pending<F>>,
     /// None where the module alone bounds what is out.
     limits: Option<Limits>,
+    /// How many classes and tenants there are.
+    sizes: (usize, usize),
 }
 
 /// The owner of the module, of requests, attempts and timers, over a node side.
@@ -82,6 +84,8 @@
     fleet: Rc<F>,
     watch: mpsc::UnboundedSender<()>,
     listed: RefCell<Listed>,
+    /// Requests served, refused and failed.
+    answered: Cell<[u64; 3]>,
     /// Discovery has told a list since the start.
     told: Cell<bool>,
     myself: Weak<Engine<F>>,
@@ -102,6 +106,7 @@
             clock: Clock::new(),
             cancel: settings.cancel,
             core: RefCell::new(Core {
+                sizes: (settings.classes.len(), settings.tenants.len()),
                 balancer: Balancer::new(settings, seed),
                 next: 1,
                 pending: FxHashMap::default(),
@@ -110,6 +115,7 @@
             fleet,
             watch,
             listed: RefCell::default(),
+            answered: Cell::default(),
             told: Cell::new(false),
             myself: myself.clone(),
         });
@@ -142,6 +148,55 @@
         self.feed(core, Event::List { kind, entries });
     }
 
+    /// Takes other settings and limits over between two events: no request sees half of them, and those that are open
+    /// keep the settings they came under. Without `rules` nothing is limited any more.
+    ///
+    /// # Errors
+    /// Why they can't be taken over; nothing is changed then.
+    pub fn retune(&self, settings: Settings, rules: Option<Rules>) -> Result<(), String> {
+        let core = &mut *self.core.borrow_mut();
+        let known = |s: &Settings| (s.classes.len(), s.tenants.len());
+        if known(&settings) != core.sizes {
+            return Err("classes or tenants are others in number".into());
+        }
+        let mut events = VecDeque::new();
+        match (core.limits.as_mut(), rules) {
+            (Some(limits), Some(rules)) => {
+                limits.retune(rules, &settings).map_err(|fault| fault.to_string())?
+            }
+            (None, Some(rules)) => {
+                core.limits = Some(Limits::new(rules, &settings).map_err(|fault| fault.to_string())?);
+            }
+            (_, None) => {
+                if let Some(limits) = core.limits.take() {
+                    let (waiting, nodes) = limits.release();
+                    waiting.into_iter().for_each(|(id, number)| self.start(core, id, number));
+                    events
+                        .extend(nodes.into_iter().map(|server| Event::Room { server, room: f64::INFINITY }));
+                }
+            }
+        }
+        core.balancer.retune(settings);
+        self.feed_all(core, events);
+        Ok(())
+    }
+
+    /// How many servers a class could be sent to now, were these the settings.
+    pub fn reach(&self, settings: &Settings, class: usize) -> usize {
+        self.core.borrow().balancer.reach(settings, class)
+    }
+
+    /// Requests served, refused and failed since the last call.
+    pub fn answered(&self) -> [u64; 3] {
+        self.answered.take()
+    }
+
+    fn count(&self, which: usize) {
+        let mut counts = self.answered.get();
+        counts[which] += 1;
+        self.answered.set(counts);
+    }
+
     /// What waits for room at nodes, and how many attempts were turned away there; none where nothing is limited.
     pub fn queued(&self) -> Option<(usize, u64)> {
         self.core.borrow().limits.as_ref().map(|l| (l.waiting(), l.turned()))
@@ -234,6 +289,7 @@
         if let Some(response) = ended.answer {
             if let Some(answer) = pending.answer.take() {
                 let _ = answer.send(Answer::Served(response));
+                self.count(0);
                 first = true;
             }
         }
@@ -416,6 +472,7 @@
     ) {
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(sender) = pending.answer.take() else { return };
+        self.count(if matches!(answer, Answer::Refused(_)) { 1 } else { 2 });
         // A client that has just gone needs none.
         let _ = sender.send(answer);
         self.close(core, id, events);
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -153,6 +153,30 @@
     });
 }
 
+/// Danger: what waits when limits go would wait for a turn that nobody gives.
+#[test]
+fn what_waits_is_sent_when_limits_go_and_each_has_one_answer() {
+    play(|fleet, engine| async move {
+        let (mut first, mut second) = (ask(&engine, 1), ask(&engine, 2));
+        assert_eq!((fleet.started(), engine.queued()), (1, Some((1, 0))));
+        let class = Class { aim: 1_000_000_000, deadline: 2_000_000_000, worth: 1.0, ..Class::default() };
+        let settings = Settings { classes: vec![class], proxies: 1, cancel: true, ..Settings::default() };
+        engine.retune(settings.clone(), None).expect("sound");
+        assert_eq!((fleet.started(), engine.queued()), (2, None));
+        fleet.end(1, Status::Ok);
+        assert!(matches!(second.answer().await, Answer::Served(())));
+        // They come back while the first is still out.
+        engine.retune(settings.clone(), Some(Rules::default())).expect("sound");
+        fleet.end(0, Status::Ok);
+        assert!(matches!(first.answer().await, Answer::Served(())));
+        assert_eq!((engine.queued(), engine.answered()), (Some((0, 0)), [2, 0, 0]));
+        let bad = Rules { over_share_part: 7.0, ..Rules::default() };
+        assert!(engine.retune(settings, Some(bad)).is_err_and(|why| why.contains("over_share_part")));
+        assert!(engine.retune(Settings::default(), None).is_err(), "classes are the platform's matter");
+        assert_eq!(engine.queued(), Some((0, 0)), "nothing has changed");
+    });
+}
+
 /// Danger: a request that nobody answers is lost once its client stops waiting.
 #[tokio::test(flavor = "current_thread")]
 async fn a_request_that_the_module_leaves_unanswered_is_failed() {
--- a/crates/core/src/limits/concurrency.rs
+++ b/crates/core/src/limits/concurrency.rs
@@ -61,6 +61,12 @@
         }
     }
 
+    /// Other bounds hold from now on; what was learned stays within them.
+    pub fn retune(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+        self.set(self.limit);
+    }
+
     /// Attempts that may be out at once.
     pub fn room(&self) -> f64 {
         self.limit
--- a/crates/core/src/limits/mod.rs
+++ b/crates/core/src/limits/mod.rs
@@ -145,6 +145,30 @@
         })
     }
 
+    /// Other rules and shares hold from now on; what was learned of nodes stays within the new bounds, and who waits
+    /// goes on waiting.
+    ///
+    /// # Errors
+    /// As [`Self::new`]; nothing is changed then.
+    pub fn retune(&mut self, rules: Rules, settings: &Settings) -> Result<(), Fault> {
+        let fresh = Limits::new(rules, settings)?;
+        for (server, node) in &mut self.nodes {
+            let origin = self.origins.contains(server);
+            node.limit.retune(if origin { fresh.rules.origin } else { fresh.rules.node });
+            node.queue.retune(fresh.rules.queue);
+        }
+        (self.rules, self.shares) = (fresh.rules, fresh.shares);
+        (self.worths, self.over_share) = (fresh.worths, fresh.over_share);
+        Ok(())
+    }
+
+    /// All who wait, and all nodes, for whom nothing is limited any more.
+    pub fn release(self) -> (Vec<AttemptId>, Vec<ServerId>) {
+        let mut waiting: Vec<AttemptId> = self.waiting.into_keys().collect();
+        waiting.sort_unstable();
+        (waiting, self.nodes.into_keys().collect())
+    }
+
     /// What waits now, over all nodes.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/crates/core/src/limits/queue.rs
+++ b/crates/core/src/limits/queue.rs
@@ -47,6 +47,11 @@
         Queue { rules, waiting: Vec::new(), counts: FxHashMap::default(), empty_at: 0 }
     }
 
+    /// Other rules hold for who comes from now on.
+    pub fn retune(&mut self, rules: QueueRules) {
+        self.rules = rules;
+    }
+
     /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -58,6 +58,29 @@
         }
     }
 
+    /// Takes other settings over between two events: who may be sent where, and the tenants' shares. Requests
+    /// that are open go on under those they came under. False, and nothing changes, where classes or tenants
+    /// are others in number.
+    pub fn retune(&mut self, settings: Settings) -> bool {
+        let sizes = |s: &Settings| (s.classes.len(), s.tenants.len());
+        let same = sizes(&settings) == sizes(&self.settings);
+        if same {
+            self.settings = Arc::new(settings);
+            self.buckets.retune(&self.settings);
+            self.roster.retune(self.settings.clone());
+            self.traffic.settings = self.settings.clone();
+            self.origin.settings = self.settings.clone();
+            self.admission.settings = self.settings.clone();
+        }
+        same
+    }
+
+    /// How many servers a class could be sent to now, were these the settings.
+    pub fn reach(&self, settings: &Settings, class: usize) -> usize {
+        let fits = |s: &&Server| self.roster.ranks(s) && self.roster.open_under(settings, class, s);
+        self.roster.servers.iter().filter(fits).count()
+    }
+
     /// Takes one event and appends the actions it calls for.
     pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
         self.traffic.started.get_or_insert(now);
--- a/crates/decision/src/logic/admission.rs
+++ b/crates/decision/src/logic/admission.rs
@@ -38,7 +38,7 @@
 
 /// What is let in.
 pub struct Admission {
-    settings: Arc<Settings>,
+    pub settings: Arc<Settings>,
     judged: Judged,
     /// Usual worth for a second's work.
     usual_worth: f64,
--- a/crates/decision/src/logic/buckets.rs
+++ b/crates/decision/src/logic/buckets.rs
@@ -61,13 +61,23 @@
 
 impl Buckets {
     pub fn new(settings: &Settings) -> Self {
+        let hot = HOT / (1.0 + ZONE_COPY * settings.cross_zone_price.max(0.0));
+        let (scopes, distinct) = Self::scopes(settings);
+        Buckets { all: FxHashMap::default(), scopes, distinct, hot, me: settings.me as usize }
+    }
+
+    /// Takes over who may be sent where.
+    pub fn retune(&mut self, settings: &Settings) {
+        (self.scopes, self.distinct) = Self::scopes(settings);
+    }
+
+    fn scopes(settings: &Settings) -> (Vec<usize>, Vec<usize>) {
         let like = |c: &Class| {
             settings.classes.iter().position(|o| o.zones == c.zones && o.kinds == c.kinds).unwrap_or(0)
         };
         let scopes: Vec<usize> = settings.classes.iter().map(like).collect();
         let distinct = (0..scopes.len()).filter(|c| scopes[*c] == *c).collect();
-        let hot = HOT / (1.0 + ZONE_COPY * settings.cross_zone_price.max(0.0));
-        Buckets { all: FxHashMap::default(), scopes, distinct, hot, me: settings.me as usize }
+        (scopes, distinct)
     }
 
     /// The bucket of a key for a class: buckets of another scope have candidates and pins of their own.
--- a/crates/decision/src/logic/choice.rs
+++ b/crates/decision/src/logic/choice.rs
@@ -19,7 +19,7 @@
         let fits = |i: &u32| {
             let s = self.roster.at(*i);
             let asked = open.attempts.iter().any(|a| a.server == s.entry.server);
-            let lawful = self.roster.open_to(open.class, s) && self.in_group(now, open, s);
+            let lawful = self.roster.open_under(&open.under, open.class, s) && self.in_group(now, open, s);
             self.roster.ranks(s) && s.suspect_until <= now && lawful && !asked
         };
         let all = || (0..self.roster.servers.len() as u32).filter(fits);
@@ -87,7 +87,7 @@
     /// Whether the rules allow this attempt. Whatever chose the server, nothing is sent without it.
     pub(super) fn lawful(&self, now: Nanos, open: &Open, s: &Server) -> bool {
         s.ready()
-            && self.roster.open_to(open.class, s)
+            && self.roster.open_under(&open.under, open.class, s)
             && now < open.deadline
             && !open.streaming
             && (open.attempts.len() as u32) < self.settings.max_attempts.max(1)
@@ -99,8 +99,13 @@
 impl Roster {
     /// May a class be sent to this server? The origin of an aside deployment is open to all.
     pub(super) fn open_to(&self, class: usize, s: &Server) -> bool {
+        self.open_under(&self.settings, class, s)
+    }
+
+    /// The same under settings that may not be the present ones.
+    pub(super) fn open_under(&self, settings: &Settings, class: usize, s: &Server) -> bool {
         let fits = |set: &Option<Vec<u32>>, at: u32| set.as_ref().is_none_or(|set| set.contains(&at));
         let placed = |c: &Class| fits(&c.zones, s.entry.zone) && fits(&c.kinds, s.entry.kind);
-        self.settings.classes.get(class).is_none_or(placed) || self.settings.aside && self.is_origin(s)
+        settings.classes.get(class).is_none_or(placed) || settings.aside && self.is_origin(s)
     }
 }
--- a/crates/decision/src/logic/origin.rs
+++ b/crates/decision/src/logic/origin.rs
@@ -14,7 +14,7 @@
 
 /// What is known of the origin.
 pub struct Origin {
-    settings: Arc<Settings>,
+    pub settings: Arc<Settings>,
     pub out: f64,
     pub room: f64,
     cut_at: Nanos,
--- a/crates/decision/src/logic/traffic.rs
+++ b/crates/decision/src/logic/traffic.rs
@@ -31,7 +31,7 @@
 
 /// Counts over all requests.
 pub struct Traffic {
-    settings: Arc<Settings>,
+    pub settings: Arc<Settings>,
     pub seen: Vec<Seen>,
     pub count: Fading,
     pub started: Option<Nanos>,
--- a/crates/decision/src/roster.rs
+++ b/crates/decision/src/roster.rs
@@ -77,6 +77,12 @@
         self.by_id.get(&server).map(|&i| &mut self.servers[i as usize])
     }
 
+    /// Takes other settings over; what is ranked by them is ranked anew.
+    pub fn retune(&mut self, settings: Arc<Settings>) {
+        self.settings = settings;
+        self.weigh();
+    }
+
     /// Takes news of the list; returns what was out at origins that are gone.
     pub fn take(
         &mut self,
--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -1116,3 +1116,28 @@
     assert!(retried[1] >= 11, "{retried:?}: 0.3 earned by each of its 40 requests");
     assert!(retried[0] <= 120, "{retried:?}: 0.3 earned by each of 400");
 }
+
+/// Danger: a request that came under one version and is repeated under another would see half of each.
+#[test]
+fn requests_keep_the_settings_they_came_under_and_later_ones_go_by_the_new() {
+    let zone = |server: ServerId| entries(0..9).iter().find(|e| e.server == server).map(|e| e.zone);
+    let only = |zone: u32| {
+        let mut only = settings();
+        only.classes[0].zones = Some(vec![zone]);
+        only
+    };
+    for key in 0..40u64 {
+        let mut p = Proxy::with(only(0), entries(0..9));
+        let (id, actions) = p.ask(key * 0x9e37_79b9);
+        let first = sent(&actions).expect("sent");
+        assert_eq!((zone(first), p.balancer.reach(&only(1), 0)), (Some(0), 3));
+        assert!(p.balancer.retune(only(1)));
+        assert_eq!(zone(sent(&p.ask(key).1).expect("sent")), Some(1), "a later one goes by the new");
+        let again = sent(&p.end(id, 0, first, Status::ConnectFailed, None)).expect("sent again");
+        assert!(again != first && zone(again) == Some(0), "an open one keeps to what it came under");
+    }
+    let mut p = Proxy::with(settings(), entries(0..9));
+    let mut fewer = settings();
+    fewer.classes.clear();
+    assert!(!p.balancer.retune(fewer), "classes are the platform's matter");
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -14,6 +14,7 @@
 const MEMORY_MB: usize = 64;
 
 /// The configuration of one proxy.
+#[derive(Clone)]
 pub struct Config {
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -30,7 +31,7 @@
 }
 
 /// The names that stand on the sockets for what the module knows by number.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Names {
     pub classes: Vec<String>,
     pub tenants: Vec<String>,
@@ -39,7 +40,7 @@
 }
 
 /// A list of cache nodes in discovery's form.
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 pub struct Members {
     pub version: u64,
     pub full: bool,
@@ -47,7 +48,7 @@
 }
 
 /// A cache node in discovery's form.
-#[derive(Deserialize)]
+#[derive(Clone, Deserialize)]
 pub struct Member {
     id: String,
     #[serde(default)]
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -13,7 +13,7 @@
     drain: Rc<Drain>,
     store: Store,
     /// What a call for the version is told, but for what changes.
-    about: serde_json::Value,
+    about: Rc<RefCell<serde_json::Value>>,
     /// The orders carried out.
     done: RefCell<Orders>,
     /// Whether clients are let in.
@@ -22,7 +22,12 @@
 
 impl Control {
     /// Begins with the orders that another process left.
-    pub fn new(engine: Rc<Engine>, drain: Rc<Drain>, store: Store, about: serde_json::Value) -> Rc<Self> {
+    pub fn new(
+        engine: Rc<Engine>,
+        drain: Rc<Drain>,
+        store: Store,
+        about: Rc<RefCell<serde_json::Value>>,
+    ) -> Rc<Self> {
         let (done, serving) = (RefCell::default(), Cell::new(false));
         let control = Control { engine, drain, store, about, done, serving };
         control.look();
@@ -54,7 +59,7 @@
     }
 
     fn version(&self) -> serde_json::Value {
-        let mut about = self.about.clone();
+        let mut about = self.about.borrow().clone();
         if let (Some((waiting, turned)), Some(about)) = (self.engine.queued(), about.as_object_mut()) {
             about.insert("limits".into(), serde_json::json!({ "waiting": waiting, "turned": turned }));
         }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -68,8 +68,10 @@
 pub struct Beyond {
     /// What may be out at nodes, where that is limited.
     pub limits: Option<Rules>,
-    /// What a call for the version is told.
-    pub about: serde_json::Value,
+    /// What a call for the version is told; it changes with versions from a control service.
+    pub about: Rc<RefCell<serde_json::Value>>,
+    /// Called once the core runs, with the address where clients are taken.
+    pub started: Box<dyn FnOnce(Rc<Engine>, std::net::SocketAddr)>,
     /// Called once a second.
     pub each_second: Box<dyn Fn()>,
     /// Called when the platform's file is to be read again.
@@ -116,6 +118,7 @@
     let held = beyond.limits.map(|rules| Limits::new(rules, &config.settings)).transpose();
     let held = held.map_err(|fault| fault.to_string())?;
     let engine = Engine::new(config.settings, config.seed, &known, upstreams.clone(), watch, held);
+    (beyond.started)(engine.clone(), bound);
     let (moves, moved) = mpsc::unbounded_channel();
     tokio::task::spawn_local(discovery.follow(engine.clone(), asked, moved));
     tokio::task::spawn_local(async move {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 mod serve;
 mod socket;
 mod state;
+mod subscription;
 mod upload;
 mod upstream;
 
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -18,13 +18,16 @@
     if let Some(file) = file {
         layers.push(source(file).map_err(|fault| vec![fault])?);
     }
-    layers.extend(environment(std::env::vars_os().filter_map(|(name, value)| {
-        // What is no text sets none of our keys.
-        Some((name.into_string().ok()?, value.into_string().ok()?))
-    })));
+    layers.extend(environment(variables()));
     resolve(&layers)
 }
 
+/// The environment, as far as it is text; what is none sets none of our keys.
+pub fn variables() -> impl Iterator<Item = (String, String)> {
+    std::env::vars_os()
+        .filter_map(|(name, value)| Some((name.into_string().ok()?, value.into_string().ok()?)))
+}
+
 /// A file as a layer.
 ///
 /// # Errors
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -2,10 +2,13 @@
 
 use crate::config::Config;
 use crate::front::Beyond;
+use crate::subscription::{last_good, Below, InForce, Subscription};
 use crate::{front, operator};
 use aniseyoke_config::layers::Resolved;
 use aniseyoke_config::Fault;
+use aniseyoke_control::Version;
 use aniseyoke_logging::Handle;
+use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -39,8 +42,12 @@
     let hangup = signal(SignalKind::hangup()).map_err(|e| one(format!("SIGHUP: {e}")))?;
     let resolved = operator::read(file.as_deref()).map_err(|faults| told(&faults))?;
     let log = aniseyoke_logging::start(&operator::log_options(&resolved.operator.log)).map_err(one)?;
-    let mut config = Config::from_env().map_err(one)?;
-    operator::apply(&resolved, &mut config).map_err(|faults| told(&faults))?;
+    let platform = Config::from_env().map_err(one)?;
+    let source = file.as_deref().map(operator::source).transpose().map_err(|fault| told(&[fault]))?;
+    let below = Below { platform, file: source };
+    let control = resolved.operator.control.clone();
+    let last = control.as_ref().and_then(|control| last_good(control, &below));
+    let (resolved, config) = below.with(last.as_ref()).map_err(|faults| told(&faults))?;
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| one(format!("SIGTERM: {e}")))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| one(format!("SIGINT: {e}")))?;
     let stop = async move {
@@ -50,32 +57,51 @@
         }
     };
     let log = Rc::new(log);
-    let (each_second, again) = (log.clone(), log.clone());
+    log.set_levels(&operator::log_levels(&resolved.operator.log));
+    let (each_second, again, swapped) = (log.clone(), log.clone(), log);
+    let about = Rc::new(RefCell::new(about(&resolved, file.as_deref(), last.as_ref())));
+    let (limits, platform) = (resolved.operator.limits.clone(), below.platform.clone());
+    let in_force = Rc::new(RefCell::new(InForce { resolved, version: last }));
+    let rereads = in_force.clone();
+    let (told_about, memory, settings) = (about.clone(), config.memory, config.settings.clone());
     let beyond = Beyond {
-        limits: resolved.operator.limits.clone(),
-        about: about(&resolved, file.as_deref()),
+        limits,
+        about,
+        started: Box::new(move |engine, at| {
+            if let Some(control) = control {
+                let subscription =
+                    Subscription::new(&control, engine, below, settings, in_force, swapped, told_about);
+                tokio::task::spawn_local(subscription.run(control, at, memory));
+            }
+        }),
         each_second: Box::new(move || each_second.tell_left_out()),
-        reread: Box::new(move || reread(&resolved, file.as_deref(), &again)),
+        reread: Box::new(move || reread(&platform, &rereads.borrow(), file.as_deref(), &again)),
     };
     front::run(config, beyond, stop, hangup).await.map_err(one)
 }
 
 /// What a call for the version is told.
-fn about(resolved: &Resolved, file: Option<&Path>) -> serde_json::Value {
+fn about(resolved: &Resolved, file: Option<&Path>, version: Option<&Version>) -> serde_json::Value {
     serde_json::json!({
         "program": env!("CARGO_PKG_VERSION"),
         "configuration": resolved.digest(),
         "file": file.map(|file| file.display().to_string()),
+        "version": version.map(|v| v.stamp.to_string()),
     })
 }
 
 /// Takes over what may change while the proxy runs, and names what waits for a restart. Danger: a file with a slip in
 /// it must not take a proxy down that serves.
-fn reread(started: &Resolved, file: Option<&Path>, log: &Handle) {
-    match operator::read(file) {
-        Ok(now) => {
+fn reread(platform: &Config, in_force: &InForce, file: Option<&Path>, log: &Handle) {
+    let source = file.map(operator::source).transpose().map_err(|fault| vec![fault]);
+    let now = source.and_then(|file| {
+        let below = Below { platform: platform.clone(), file };
+        below.with(in_force.version.as_ref())
+    });
+    match now {
+        Ok((now, _)) => {
             log.set_levels(&operator::log_levels(&now.operator.log));
-            let waiting = operator::waiting(&started.operator, &now.operator);
+            let waiting = operator::waiting(&in_force.resolved.operator, &now.operator);
             if !waiting.is_empty() {
                 tracing::warn!("these changes wait for a restart: {}", waiting.join(", "));
             }
