--- a/crates/lab/src/day/builtin.rs
+++ b/crates/lab/src/day/builtin.rs
@@ -1,7 +1,7 @@
 //! The days that come with the laboratory.
 
 /// Name and text of each.
-pub const BUILTIN: [(&str, &str); 8] = [
+pub const BUILTIN: [(&str, &str); 9] = [
     ("quiet", include_str!("../../days/quiet.toml")),
     ("deploy", include_str!("../../days/deploy.toml")),
     ("silence", include_str!("../../days/silence.toml")),
@@ -9,6 +9,7 @@
     ("chuseok", include_str!("../../days/chuseok.toml")),
     ("rough", include_str!("../../days/rough.toml")),
     ("stall", include_str!("../../days/stall.toml")),
+    ("roll", include_str!("../../days/roll.toml")),
     ("plain", include_str!("../../days/plain.toml")),
 ];
 
