Let one writer at a time keep the last good version on disk

Need: two versions put in force in quick succession were kept by two tasks of the blocking pool, which could write beside the same file at once and tear each other's; the comment that ruled it out was wrong. Found on reading the change again.

Change: the store stands behind a lock that a task holds from the look for a newer version to the rename.

--- a/crates/proxy/src/subscription.rs
+++ b/crates/proxy/src/subscription.rs
@@ -15,8 +15,8 @@
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// A frame may take this part of a proxy's memory: it is there as bytes, as JSON, as text and as what came before.
@@ -106,7 +106,8 @@
     now: RefCell<Settings>,
     in_force: Rc<RefCell<InForce>>,
     log: Rc<Handle>,
-    store: Option<PathBuf>,
+    /// One writer at a time. Danger: two that write beside the same file would tear each other's.
+    store: Option<Arc<Mutex<Store<Disk>>>>,
     about: Rc<RefCell<serde_json::Value>>,
 }
 
@@ -121,7 +122,7 @@
         log: Rc<Handle>,
         about: Rc<RefCell<serde_json::Value>>,
     ) -> Self {
-        let store = control.dir.as_ref().map(|dir| dir.join(KEPT));
+        let store = control.dir.as_ref().map(|dir| Arc::new(Mutex::new(Store::new(Disk, dir.join(KEPT)))));
         Subscription { engine, below, now: RefCell::new(now), in_force, log, store, about }
     }
 
@@ -186,15 +187,14 @@
     }
 
     fn keep(&self, version: Version) {
-        let Some(path) = self.store.clone() else { return };
-        // The disk may take its time; the one thread does not wait for it. A later version is kept after this one, since
-        // the next is put in force only after its own tasks of the same queue have been handed over.
+        let Some(store) = self.store.clone() else { return };
+        // The disk may take its time; the one thread does not wait for it.
         tokio::task::spawn_blocking(move || {
             let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
             let stamp = version.stamp;
-            let mut store = Store::new(Disk, path);
-            let newer = matches!(store.find(), Ok(Found::Good(kept)) if kept.version.stamp > stamp);
-            if newer {
+            let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
+            // A later version may have come to its turn before this one.
+            if matches!(store.find(), Ok(Found::Good(kept)) if kept.version.stamp > stamp) {
                 return;
             }
             if let Err(e) = store.keep(&Kept { version, at_ms }) {
