--- a/crates/benchlink/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -132,10 +132,10 @@
         categories.1.allowed_in= categories.1.effect=new categories.1.group=new rules.let_go_in_ns=500 \
         client_habits.marks_retry=true some.new.key=x,y";
     let Ok(Line::New { settings: s, .. }) = wire::parse(line) else { panic!("no start") };
-    assert_eq!((&s.classes[0].zones, &s.classes[0].kinds), (&Some(vec![0, 2]), &Some(vec![1])));
-    assert_eq!(s.classes[1].zones, Some(vec![]), "an empty list allows none");
+    assert_eq!((&s.classes[0].only.zones, &s.classes[0].only.kinds), (&Some(vec![0, 2]), &Some(vec![1])));
+    assert_eq!(s.classes[1].only.zones, Some(vec![]), "an empty list allows none");
     assert_eq!((s.classes[1].effect, s.classes[1].group), (Effect::Unsafe, Group::Cell), "the strictest");
-    assert_eq!(s.classes[2].zones, None);
+    assert_eq!(s.classes[2].only.zones, None);
     assert_eq!((s.let_go, s.marks_retry), (500, true));
 }
 
--- a/crates/config/src/layers.rs
+++ b/crates/config/src/layers.rs
@@ -234,6 +234,31 @@
         assert!(faults.iter().all(|f| f.place.starts_with("f.toml:")), "{faults:?}");
     }
 
+    #[test]
+    fn routes_and_overlays_that_say_nothing_or_too_much_are_all_told() {
+        let long = "x".repeat(257);
+        let text = format!(
+            "[pools.a]\nzones = [\"z\"]\n[[routes]]\npool = \"a\"\n[[routes]]\nprefix = \"{long}\"\npool = \"a\"\n\
+             [[routes]]\nprefix = \"k/\"\npool = \"a\"\n[[routes]]\ntenant = \"t\"\nprefix = \"k/7\"\npool = \"a\"\n\
+             [[overlays]]\ndrain = true\n[[overlays]]\nnode = \"n\"\n[[overlays]]\nnode = \"n\"\nweight = 0.5\n\
+             [[overlays]]\nzone = \"z\"\nweight = 200\n"
+        );
+        let told = |faults: Vec<Fault>| faults.into_iter().map(|f| f.key).collect::<Vec<_>>();
+        assert_eq!(told(resolve(&[file(&text)]).expect_err("by itself")), ["overlays.3.weight"]);
+        let text = text.replace("200", "2.0");
+        let keys = told(resolve(&[file(&text)]).expect_err("six"));
+        let wanted = ["routes.0", "routes.1.prefix", "routes.3", "overlays.0", "overlays.1", "overlays.2"];
+        assert_eq!(keys, wanted);
+    }
+
+    #[test]
+    fn more_pools_than_can_be_told_apart_are_refused() {
+        let pools = |n: usize| (0..n).map(|n| format!("[pools.p{n}]\nzones = [\"z\"]\n")).collect::<String>();
+        assert!(resolve(&[file(&pools(63))]).is_ok());
+        let faults = resolve(&[file(&pools(64))]).expect_err("one too many");
+        assert_eq!((faults.len(), faults[0].key.as_str()), (1, "pools"));
+    }
+
     #[test]
     fn the_digest_tells_what_is_said_and_not_how() {
         let digest = |text: &str| resolve(&[file(text)]).expect("sound").digest();
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -1,5 +1,7 @@
 //! Every key of the operator's file. A doc comment here is what `config explain` prints.
 
+mod faults;
+
 use aniseyoke_core::limits::Rules;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
@@ -28,6 +30,10 @@
     pub pools: BTreeMap<String, Pool>,
     /// Which requests go to which pool; the first that fits counts, and what fits none may go to any node.
     pub routes: Vec<Route>,
+    /// What is said of nodes on top of the list; the first that fits a node counts.
+    pub overlays: Vec<Overlay>,
+    /// What may be turned off.
+    pub features: Features,
 }
 
 /// What is written to the log, and how.
@@ -136,49 +142,67 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
     pub class: Option<String>,
+    /// The name of a tenant.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub tenant: Option<String>,
+    /// What the key begins with, as clients write it; at most 256 bytes.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
+    pub prefix: Option<String>,
     /// The pool that these requests go to.
     #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
     pub pool: String,
 }
 
-impl Operator {
-    /// All that contradicts itself: a key each, and why.
-    pub fn faults(&self) -> Vec<(String, String)> {
-        let mut faults = Vec::new();
-        if let Some(rules) = &self.limits {
-            faults.extend(rules.faults().into_iter().map(|f| (format!("limits.{}", f.key), f.why)));
-        }
-        if self.control.as_ref().is_some_and(|c| c.services.is_empty()) {
-            faults.push(("control.services".into(), "no service is named".into()));
-        }
-        for (name, pool) in &self.pools {
-            if pool.zones.is_empty() && pool.kinds.is_empty() {
-                faults.push((format!("pools.{name}"), "it names no zones and no kinds".into()));
-            }
-        }
-        let mut first = BTreeMap::new();
-        for (n, route) in self.routes.iter().enumerate() {
-            if !self.pools.contains_key(&route.pool) {
-                let known: Vec<&str> = self.pools.keys().map(String::as_str).collect();
-                let why = format!("there is no pool {:?}; there is {}", route.pool, listed(&known));
-                faults.push((format!("routes.{n}.pool"), why));
-            }
-            if route.class.is_none() {
-                faults.push((format!("routes.{n}"), "it has no condition".into()));
-            }
-            if let Some(earlier) = first.insert(&route.class, n) {
-                first.insert(&route.class, earlier);
-                faults.push((format!("routes.{n}"), format!("route {earlier} takes all that would fit it")));
-            }
-        }
-        faults
+/// What is said of some nodes on top of the list. Each of node, zone and kind that is given must fit; at least one is
+/// given.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Overlay {
+    /// The id of one node, as the list has it.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.4", "x-apply" = "restart"))]
+    pub node: Option<String>,
+    /// The name of a zone.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.4", "x-apply" = "restart"))]
+    pub zone: Option<String>,
+    /// The name of a machine kind.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.4", "x-apply" = "restart"))]
+    pub kind: Option<String>,
+    /// Their size, as a multiple of the one in the list.
+    #[schemars(range(min = 0.01, max = 100.0), extend("x-since" = "0.4", "x-apply" = "restart"))]
+    pub weight: f64,
+    /// They finish what they have and get nothing new.
+    #[schemars(extend("x-since" = "0.4", "x-apply" = "restart"))]
+    pub drain: bool,
+}
+
+impl Default for Overlay {
+    fn default() -> Self {
+        Overlay { node: None, zone: None, kind: None, weight: 1.0, drain: false }
     }
 }
 
-fn listed(names: &[&str]) -> String {
-    if names.is_empty() {
-        "none".into()
-    } else {
-        names.join(", ")
+/// What may be turned off; what the platform itself does not allow stays off.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Features {
+    /// Requests may be tried again at another node.
+    #[schemars(extend("x-since" = "0.4", "x-apply" = "restart"))]
+    pub retries: bool,
+    /// A second attempt may be out beside a slow one.
+    #[schemars(extend("x-since" = "0.4", "x-apply" = "restart"))]
+    pub second_copies: bool,
+    /// Attempts for a request that is over are called off.
+    #[schemars(extend("x-since" = "0.4", "x-apply" = "restart"))]
+    pub cancelling: bool,
+}
+
+impl Default for Features {
+    fn default() -> Self {
+        Features { retries: true, second_copies: true, cancelling: true }
     }
 }
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -3,8 +3,11 @@
 
 use crate::clock::{margin, Clock};
 use crate::fleet::{Ended, Fleet, Job, Tether};
-use crate::limits::{self, Limits, Rules, Verdict};
+use crate::limits::{self, Limits, Verdict};
 use crate::listed::Listed;
+use crate::listing::Listing;
+use crate::plan::Plan;
+use crate::tally::{Fate, Tally};
 use crate::ticket::{Answer, Ticket};
 use aniseyoke_decision::api::*;
 use aniseyoke_decision::Balancer;
@@ -13,6 +16,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
@@ -57,6 +61,8 @@
     class: usize,
     tenant: Option<usize>,
     job: Rc<F::Job>,
+    /// What is out for it may be called off, by the settings that it came under.
+    cancel: bool,
     /// What the client waits from its last byte on.
     patience: Nanos,
     /// None while that byte has not come.
@@ -72,20 +78,21 @@
     pending: FxHashMap<RequestId, Pending<F>>,
     /// None where the module alone bounds what is out.
     limits: Option<Limits>,
-    /// How many classes and tenants there are.
-    sizes: (usize, usize),
+    /// What is in force.
+    plan: Arc<Plan>,
+    /// The list as discovery tells it.
+    listing: Listing,
 }
 
 /// The owner of the module, of requests, attempts and timers, over a node side.
 pub struct Engine<F: Fleet> {
     clock: Clock,
-    cancel: bool,
     core: RefCell<Core<F>>,
     fleet: Rc<F>,
     watch: mpsc::UnboundedSender<()>,
     listed: RefCell<Listed>,
     /// Requests served, refused and failed.
-    answered: Cell<[u64; 3]>,
+    answered: Arc<Tally>,
     /// Discovery has told a list since the start.
     told: Cell<bool>,
     myself: Weak<Engine<F>>,
@@ -93,34 +100,37 @@
 
 impl<F: Fleet> Engine<F> {
     /// Starts the module with the list as it was `known` last; a message on `watch` asks for the list to be followed.
-    /// Without `limits` whatever the module sends goes out at once.
+    ///
+    /// # Errors
+    /// If the plan's limits contradict themselves.
     pub fn new(
-        settings: Settings,
+        plan: Arc<Plan>,
         seed: u64,
         known: &[(Entry, Option<SocketAddr>)],
         fleet: Rc<F>,
         watch: mpsc::UnboundedSender<()>,
-        limits: Option<Limits>,
-    ) -> Rc<Self> {
+    ) -> Result<Rc<Self>, limits::Fault> {
+        let rules = plan.limits.clone();
+        let limits = rules.map(|rules| Limits::new(rules, &plan.settings)).transpose()?;
         let engine = Rc::new_cyclic(|myself| Engine {
             clock: Clock::new(),
-            cancel: settings.cancel,
             core: RefCell::new(Core {
-                sizes: (settings.classes.len(), settings.tenants.len()),
-                balancer: Balancer::new(settings, seed),
+                balancer: Balancer::new(plan.settings.clone(), seed),
                 next: 1,
                 pending: FxHashMap::default(),
                 limits,
+                plan,
+                listing: Listing::default(),
             }),
             fleet,
             watch,
             listed: RefCell::default(),
-            answered: Cell::default(),
+            answered: Arc::default(),
             told: Cell::new(false),
             myself: myself.clone(),
         });
         engine.list(ListKind::Cached, known);
-        engine
+        Ok(engine)
     }
 
     /// Whether a request could be served now.
@@ -133,68 +143,9 @@
         self.told.get()
     }
 
-    /// News of the list.
-    pub fn list(&self, kind: ListKind, entries: &[(Entry, Option<SocketAddr>)]) {
-        self.told.set(self.told.get() || matches!(kind, ListKind::Full | ListKind::Delta));
-        if kind != ListKind::Failed {
-            self.fleet.update(kind != ListKind::Delta, entries);
-        }
-        let entries: Vec<Entry> = entries.iter().map(|(e, _)| e.clone()).collect();
-        entries.iter().for_each(|e| self.listed.borrow_mut().add(e.server));
-        let core = &mut *self.core.borrow_mut();
-        if let Some(limits) = core.limits.as_mut() {
-            entries.iter().for_each(|e| limits.listed(e));
-        }
-        self.feed(core, Event::List { kind, entries });
-    }
-
-    /// Takes other settings and limits over between two events: no request sees half of them, and those that are open
-    /// keep the settings they came under. Without `rules` nothing is limited any more.
-    ///
-    /// # Errors
-    /// Why they can't be taken over; nothing is changed then.
-    pub fn retune(&self, settings: Settings, rules: Option<Rules>) -> Result<(), String> {
-        let core = &mut *self.core.borrow_mut();
-        let known = |s: &Settings| (s.classes.len(), s.tenants.len());
-        if known(&settings) != core.sizes {
-            return Err("classes or tenants are others in number".into());
-        }
-        let mut events = VecDeque::new();
-        match (core.limits.as_mut(), rules) {
-            (Some(limits), Some(rules)) => {
-                limits.retune(rules, &settings).map_err(|fault| fault.to_string())?
-            }
-            (None, Some(rules)) => {
-                core.limits = Some(Limits::new(rules, &settings).map_err(|fault| fault.to_string())?);
-            }
-            (_, None) => {
-                if let Some(limits) = core.limits.take() {
-                    let (waiting, nodes) = limits.release();
-                    waiting.into_iter().for_each(|(id, number)| self.start(core, id, number));
-                    events
-                        .extend(nodes.into_iter().map(|server| Event::Room { server, room: f64::INFINITY }));
-                }
-            }
-        }
-        core.balancer.retune(settings);
-        self.feed_all(core, events);
-        Ok(())
-    }
-
-    /// How many servers a class could be sent to now, were these the settings.
-    pub fn reach(&self, settings: &Settings, class: usize) -> usize {
-        self.core.borrow().balancer.reach(settings, class)
-    }
-
-    /// Requests served, refused and failed since the last call.
-    pub fn answered(&self) -> [u64; 3] {
-        self.answered.take()
-    }
-
-    fn count(&self, which: usize) {
-        let mut counts = self.answered.get();
-        counts[which] += 1;
-        self.answered.set(counts);
+    /// Counts what becomes of requests; other threads may look.
+    pub fn tally(&self) -> Arc<Tally> {
+        self.answered.clone()
     }
 
     /// What waits for room at nodes, and how many attempts were turned away there; none where nothing is limited.
@@ -202,20 +153,6 @@
         self.core.borrow().limits.as_ref().map(|l| (l.waiting(), l.turned()))
     }
 
-    /// Whether an id was ever listed.
-    pub fn listed(&self, id: &str) -> bool {
-        self.listed.borrow().knows(server_id(id))
-    }
-
-    /// Operators take a server out, or give it back.
-    pub fn ban(&self, id: &str, out: bool) {
-        let server = server_id(id);
-        self.listed.borrow_mut().add(server);
-        self.fleet.ban(server, out);
-        let event = if out { Event::Excluded(server) } else { Event::Included(server) };
-        self.feed(&mut self.core.borrow_mut(), event);
-    }
-
     /// A request has come; its answer comes from the ticket.
     pub fn arrive(&self, asked: Asked<F::Job>) -> Ticket<F> {
         let Asked { mut request, job } = asked;
@@ -226,6 +163,11 @@
         core.next += 1;
         let patience = request.remaining;
         request.id = id;
+        // Danger: where routes and pools were asked at two times, a version could come between them.
+        let table = &core.plan.routing.table;
+        if !table.is_empty() {
+            request.pool = table.pool(Some(&request.class), request.tenant.as_ref(), job.key());
+        }
         let margin = margin(patience);
         request.remaining = patience - margin;
         let (patience_left, job) = (request.remaining, Rc::new(job));
@@ -238,6 +180,7 @@
             class: request.class as usize,
             tenant: request.tenant.map(|t| t as usize),
             job: job.clone(),
+            cancel: core.plan.settings.cancel,
             patience: patience_left,
             deadline: (!comes).then(|| now.saturating_add(patience_left)),
             answer: Some(answer),
@@ -289,7 +232,7 @@
         if let Some(response) = ended.answer {
             if let Some(answer) = pending.answer.take() {
                 let _ = answer.send(Answer::Served(response));
-                self.count(0);
+                self.answered.count(Fate::Served);
                 first = true;
             }
         }
@@ -472,7 +415,8 @@
     ) {
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(sender) = pending.answer.take() else { return };
-        self.count(if matches!(answer, Answer::Refused(_)) { 1 } else { 2 });
+        let refused = matches!(answer, Answer::Refused(_));
+        self.answered.count(if refused { Fate::Refused } else { Fate::Failed });
         // A client that has just gone needs none.
         let _ = sender.send(answer);
         self.close(core, id, events);
@@ -481,7 +425,7 @@
     /// Ends what is out for a request that is over, where that may be ended. Danger: it would go on for nobody.
     fn close(&self, core: &mut Core<F>, id: RequestId, events: &mut VecDeque<Event>) {
         self.bar(core, id, events);
-        let attempts = core.pending.get(&id).filter(|_| self.cancel).map_or(0, |p| p.attempts.len());
+        let attempts = core.pending.get(&id).filter(|p| p.cancel).map_or(0, |p| p.attempts.len());
         (0..attempts).for_each(|number| self.call_off(core, id, number, events));
         Self::forget(core, id);
     }
@@ -509,5 +453,6 @@
     }
 }
 
+mod news;
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -10,6 +10,10 @@
 struct Nothing;
 
 impl Job for Parcel {
+    fn key(&self) -> &[u8] {
+        b""
+    }
+
     fn comes(&self) -> bool {
         false
     }
@@ -69,6 +73,10 @@
     }
 }
 
+fn plan(settings: Settings, limits: Option<Rules>) -> Arc<Plan> {
+    Arc::new(Plan { settings, limits, ..Plan::default() })
+}
+
 /// An engine over one node with room for one attempt and a queue for one more.
 fn engine(fleet: &Rc<Held>) -> Rc<Engine<Held>> {
     let one = Bounds { floor: 1.0, start: 1.0, ceiling: 1.0, ..Bounds::default() };
@@ -77,10 +85,10 @@
     let rules = Rules { node: one, queue, ..Rules::default() };
     let class = Class { aim: 1_000_000_000, deadline: 2_000_000_000, worth: 1.0, ..Class::default() };
     let settings = Settings { classes: vec![class], proxies: 1, cancel: true, ..Settings::default() };
-    let limits = Limits::new(rules, &settings).expect("sound");
     let entry = Entry { server: server_id("a"), weight: 1.0, ..Entry::default() };
     let (watch, _) = mpsc::unbounded_channel();
-    Engine::new(settings, 1, &[(entry, None)], fleet.clone(), watch, Some(limits))
+    let plan = plan(settings, Some(rules));
+    Engine::new(plan, 1, &[(entry, None)], fleet.clone(), watch).expect("sound")
 }
 
 fn ask(engine: &Rc<Engine<Held>>, key: u64) -> Ticket<Held> {
@@ -161,18 +169,18 @@
         assert_eq!((fleet.started(), engine.queued()), (1, Some((1, 0))));
         let class = Class { aim: 1_000_000_000, deadline: 2_000_000_000, worth: 1.0, ..Class::default() };
         let settings = Settings { classes: vec![class], proxies: 1, cancel: true, ..Settings::default() };
-        engine.retune(settings.clone(), None).expect("sound");
+        engine.retune(plan(settings.clone(), None)).expect("sound");
         assert_eq!((fleet.started(), engine.queued()), (2, None));
         fleet.end(1, Status::Ok);
         assert!(matches!(second.answer().await, Answer::Served(())));
         // They come back while the first is still out.
-        engine.retune(settings.clone(), Some(Rules::default())).expect("sound");
+        engine.retune(plan(settings.clone(), Some(Rules::default()))).expect("sound");
         fleet.end(0, Status::Ok);
         assert!(matches!(first.answer().await, Answer::Served(())));
-        assert_eq!((engine.queued(), engine.answered()), (Some((0, 0)), [2, 0, 0]));
+        assert_eq!((engine.queued(), engine.tally().take()), (Some((0, 0)), [2, 0, 0]));
         let bad = Rules { over_share_part: 7.0, ..Rules::default() };
-        assert!(engine.retune(settings, Some(bad)).is_err_and(|why| why.contains("over_share_part")));
-        assert!(engine.retune(Settings::default(), None).is_err(), "classes are the platform's matter");
+        assert!(engine.retune(plan(settings, Some(bad))).is_err_and(|why| why.contains("over_share_part")));
+        assert!(engine.retune(plan(Settings::default(), None)).is_err(), "classes are the platform's matter");
         assert_eq!(engine.queued(), Some((0, 0)), "nothing has changed");
     });
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -9,6 +9,9 @@
 
 /// A client's request as it goes on to any node, in a node side's own terms.
 pub trait Job: 'static {
+    /// The key as its client wrote it, for routes by prefix; empty where it has none.
+    fn key(&self) -> &[u8];
+
     /// Whether the client's last byte is still to come.
     fn comes(&self) -> bool;
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,9 +8,14 @@
 pub mod fleet;
 pub mod limits;
 mod listed;
+mod listing;
+pub mod plan;
+pub mod tally;
 pub mod ticket;
 
 pub use engine::{Asked, Engine};
 pub use fleet::{Ended, Fleet, Job, Tether};
 pub use limits::Limits;
+pub use plan::Plan;
+pub use tally::Tally;
 pub use ticket::{Answer, Ticket};
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -7,6 +7,8 @@
 pub type Nanos = u64;
 /// Stable identity of a server: the same value at every proxy (see [`server_id`]).
 pub type ServerId = u64;
+/// So many parts of the fleet can be told apart, so that a bucket keeps its number when one is added.
+pub const POOLS_MOST: usize = 63;
 /// Identity of a request at this proxy; below 2^52, never used twice.
 pub type RequestId = u64;
 
@@ -62,12 +64,27 @@
     pub worth: f64,
     /// The answer is streamed.
     pub stream: bool,
-    /// The only zones that the class may be sent to; `None`: all.
+    /// The only servers that the class may be sent to.
+    pub only: Pool,
+}
+
+/// A part of the fleet: the servers that fit both.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Pool {
+    /// Its only zones; `None`: all.
     pub zones: Option<Vec<u32>>,
-    /// The only machine kinds that it may be sent to; `None`: all.
+    /// Its only machine kinds; `None`: all.
     pub kinds: Option<Vec<u32>>,
 }
 
+impl Pool {
+    /// Whether a server of this zone and kind is part of it.
+    pub fn holds(&self, zone: u32, kind: u32) -> bool {
+        let fits = |set: &Option<Vec<u32>>, at| set.as_ref().is_none_or(|set| set.contains(&at));
+        fits(&self.zones, zone) && fits(&self.kinds, kind)
+    }
+}
+
 /// A tenant's share.
 #[derive(Clone, Debug, Default)]
 pub struct Tenant {
@@ -82,6 +99,8 @@
     pub classes: Vec<Class>,
     /// Tenants; may be empty.
     pub tenants: Vec<Tenant>,
+    /// Parts of the fleet that requests may be routed to; at most [`POOLS_MOST`].
+    pub pools: Vec<Pool>,
     /// This proxy's zone.
     pub zone: u32,
     /// How many proxies there are.
@@ -128,6 +147,15 @@
     pub marks_retry: bool,
 }
 
+impl Settings {
+    /// Whether a request of this class, routed to this pool if to any, may be sent to a server of this zone
+    /// and kind. A class or pool that is not known allows all.
+    pub fn allows(&self, class: usize, pool: Option<usize>, zone: u32, kind: u32) -> bool {
+        self.classes.get(class).is_none_or(|c| c.only.holds(zone, kind))
+            && pool.and_then(|p| self.pools.get(p)).is_none_or(|p| p.holds(zone, kind))
+    }
+}
+
 /// State of a server in the list.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum State {
@@ -170,6 +198,8 @@
     Cached,
     /// A call failed or the subscription broke; the old list stays.
     Failed,
+    /// Only the changed entries, by the operators' word; discovery has said nothing.
+    Overlay,
 }
 
 /// How an attempt or probe ended.
@@ -211,6 +241,8 @@
     pub class: u32,
     /// Index into [`Settings::tenants`].
     pub tenant: Option<u32>,
+    /// Index into [`Settings::pools`], where it is routed to one.
+    pub pool: Option<u32>,
     /// The key, hashed or raw.
     pub key: Option<u64>,
     /// Time left before the client gives up this try.
--- a/crates/decision/src/follow.rs
+++ b/crates/decision/src/follow.rs
@@ -30,7 +30,7 @@
             self.ask_later(chance, actions);
         } else if self.settings.must_ask && kind == ListKind::Cached {
             self.ask_later(chance, actions);
-        } else if self.settings.must_ask && self.asked {
+        } else if self.settings.must_ask && self.asked && kind != ListKind::Overlay {
             (self.subscribed, self.asked, self.failures) = (true, false, 0);
         }
     }
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -75,10 +75,9 @@
         same
     }
 
-    /// How many servers a class could be sent to now, were these the settings.
-    pub fn reach(&self, settings: &Settings, class: usize) -> usize {
-        let fits = |s: &&Server| self.roster.ranks(s) && self.roster.open_under(settings, class, s);
-        self.roster.servers.iter().filter(fits).count()
+    /// Whether operators have taken a server out.
+    pub fn excluded(&self, server: ServerId) -> bool {
+        self.roster.banned.contains(&server)
     }
 
     /// Takes one event and appends the actions it calls for.
--- a/crates/decision/src/logic/attempts.rs
+++ b/crates/decision/src/logic/attempts.rs
@@ -25,6 +25,7 @@
     /// The settings that it came under, which say where it may go until its answer.
     pub under: Arc<Settings>,
     pub class: usize,
+    pub pool: Option<usize>,
     pub bucket: Option<u32>,
     pub write: bool,
     pub aim_at: Nanos,
@@ -65,11 +66,13 @@
         self.traffic.arrived(now, r.tenant.map(|t| t as usize));
         let class = self.settings.classes.get(r.class as usize).cloned().unwrap_or_default();
         let aim = self.traffic.aim_left(&r, &class);
-        let bucket = r.key.map(|k| self.buckets.of(r.class as usize, k));
+        let pool = r.pool.map(|p| p as usize);
+        let bucket = r.key.map(|k| self.buckets.of(r.class as usize, pool, k));
         let usual = self.traffic.usual(r.class as usize);
         let hopeless = class.late_value <= 0.0 && (aim as f64) < HOPELESS * usual.mean;
         let mut open = Open {
             class: r.class as usize,
+            pool,
             bucket,
             write: r.write,
             aim_at: now.saturating_add(aim),
@@ -138,7 +141,7 @@
         let (server, zone, cell) = (s.entry.server, s.entry.zone, s.entry.cell);
         let Some(open) = self.open.get_mut(&id) else { return };
         open.attempts.push(Attempt { server, zone, cell, sent: now, pending: true, may_have_run: false });
-        let more = (open.attempts.len() as u32) < self.settings.max_attempts;
+        let more = (open.attempts.len() as u32) < open.under.max_attempts;
         let left = open.aim_at.min(open.deadline).saturating_sub(now) as f64;
         let seen = self.traffic.usual(open.class);
         let class = self.settings.classes.get(open.class);
@@ -149,7 +152,7 @@
         let worthless = left > 0.0 && class.is_some_and(|c| c.late_value <= 0.0);
         let mut timeout = if worthless { left as Nanos } else { 0 };
         let cut = safe && more && !to_origin && patience + seen.mean < left;
-        if cut && self.settings.second_copies {
+        if cut && open.under.second_copies {
             // Danger: an answer that got lost, or a server that hangs, holds the request until its aim. While
             // all servers are slow, patience grows past what is left and nothing is sent twice.
             actions.push(Action::Timer { token: HEDGE | id, delay: patience as Nanos });
@@ -212,7 +215,7 @@
             worth = if now <= open.aim_at { 1.0 } else { late };
         }
         self.admission.ended(&open, worth);
-        let out = open.attempts.iter().enumerate().filter(|(_, a)| a.pending && self.settings.cancel);
+        let out = open.attempts.iter().enumerate().filter(|(_, a)| a.pending && open.under.cancel);
         actions.extend(out.map(|(n, _)| Action::Cancel { id: o.id, attempt: n as u32 }));
     }
 
@@ -278,7 +281,7 @@
         let Some(open) = self.open.remove(&id) else { return false };
         // Danger: where a hot key drowns a server, silence of a thousand proxies floods the origin as well.
         let calm = !silent || !self.settings.aside || self.origin.in_time();
-        let more = calm && (open.attempts.len() as u32) < self.settings.max_attempts.max(1);
+        let more = calm && (open.attempts.len() as u32) < open.under.max_attempts.max(1);
         let tenant = open.tenant;
         let more = more && self.traffic.may_repeat(tenant) && self.in_time(now, &open);
         let target = match (more, silent || to_origin) {
--- a/crates/decision/src/logic/buckets.rs
+++ b/crates/decision/src/logic/buckets.rs
@@ -12,6 +12,8 @@
 const PLACE: f64 = 0.25;
 /// Key buckets; a bucket's state exists only once it was used.
 const BUCKETS: u64 = 1 << 13;
+/// Pools that a class's buckets may be of, and none.
+const POOLS: u64 = POOLS_MOST as u64 + 1;
 /// Servers ranked for each bucket: candidates first, then stand-ins.
 const RANKED: usize = 16;
 /// The keys a cold server gets, by its surest warmth. Danger: at just its share newcomers idle (they warm
@@ -72,17 +74,16 @@
     }
 
     fn scopes(settings: &Settings) -> (Vec<usize>, Vec<usize>) {
-        let like = |c: &Class| {
-            settings.classes.iter().position(|o| o.zones == c.zones && o.kinds == c.kinds).unwrap_or(0)
-        };
+        let like = |c: &Class| settings.classes.iter().position(|o| o.only == c.only).unwrap_or(0);
         let scopes: Vec<usize> = settings.classes.iter().map(like).collect();
         let distinct = (0..scopes.len()).filter(|c| scopes[*c] == *c).collect();
         (scopes, distinct)
     }
 
-    /// The bucket of a key for a class: buckets of another scope have candidates and pins of their own.
-    pub fn of(&self, class: usize, key: u64) -> u32 {
+    /// The bucket of a key for a class and pool; another scope's has candidates and pins of its own.
+    pub fn of(&self, class: usize, pool: Option<usize>, key: u64) -> u32 {
         let scope = self.scopes.get(class).map_or(0, |s| s + 1) as u64;
+        let scope = scope * POOLS + pool.map_or(0, |p| p as u64 + 1) % POOLS;
         (scope * BUCKETS + mix(key) % BUCKETS) as u32
     }
 
@@ -93,13 +94,18 @@
             return;
         }
         let salt = mix(place(b) ^ 0x5ca1_ab1e);
-        let class = (u64::from(b) / BUCKETS).checked_sub(1).map_or(usize::MAX, |c| c as usize);
-        let fits = |s: &Server| (roster.ranks(s) || s.banned) && roster.open_to(class, s);
+        let scope = (u64::from(b) / BUCKETS) as usize;
+        let class = (scope / POOLS as usize).wrapping_sub(1);
+        let pool = (scope % POOLS as usize).checked_sub(1);
+        let open = |class, pool, s: &Server| roster.open_under(&roster.settings, class, pool, s);
+        let fits = |s: &Server| (roster.ranks(s) || s.banned) && open(class, pool, s);
         let mut best: Vec<(f64, u32)> = Vec::with_capacity(RANKED + 1);
         for (i, s) in roster.servers.iter().enumerate().filter(|(_, s)| fits(s)) {
             // Danger: what only some servers may serve needs these; others' keys would crowd them.
-            let scopes = self.distinct.iter().filter(|c| roster.open_to(**c, s)).count().max(1);
-            let score = -unit(mix(salt ^ s.entry.server)).ln() * s.inverse_weight * scopes as f64;
+            let scopes = self.distinct.iter().filter(|c| open(**c, None, s)).count();
+            let pools = (0..roster.settings.pools.len()).filter(|p| open(class, Some(*p), s)).count();
+            let shared = (scopes + pools).max(1) as f64;
+            let score = -unit(mix(salt ^ s.entry.server)).ln() * s.inverse_weight * shared;
             if best.len() < RANKED || score < best[RANKED - 1].0 {
                 let at = best.partition_point(|x| x.0 <= score);
                 best.insert(at, (score, i as u32));
--- a/crates/decision/src/logic/choice.rs
+++ b/crates/decision/src/logic/choice.rs
@@ -13,13 +13,14 @@
         // One request of its own that is already out may be a heavy one that the next would wait for.
         let own = self.roster.inflight / self.roster.total_weight.max(1e-9);
         let most = own * (1.0 + (BUSIEST - 1.0) * self.chance.draw());
-        let b = open.bucket.unwrap_or_else(|| self.buckets.of(open.class, now ^ self.chance.0));
+        let b = open.bucket.unwrap_or_else(|| self.buckets.of(open.class, open.pool, now ^ self.chance.0));
         self.buckets.rank(&self.roster, b);
         let mut order = self.buckets.ordered(&self.roster, now, b, spread);
         let fits = |i: &u32| {
             let s = self.roster.at(*i);
             let asked = open.attempts.iter().any(|a| a.server == s.entry.server);
-            let lawful = self.roster.open_under(&open.under, open.class, s) && self.in_group(now, open, s);
+            let open_to = self.roster.open_under(&open.under, open.class, open.pool, s);
+            let lawful = open_to && self.in_group(now, open, s);
             self.roster.ranks(s) && s.suspect_until <= now && lawful && !asked
         };
         let all = || (0..self.roster.servers.len() as u32).filter(fits);
@@ -87,25 +88,18 @@
     /// Whether the rules allow this attempt. Whatever chose the server, nothing is sent without it.
     pub(super) fn lawful(&self, now: Nanos, open: &Open, s: &Server) -> bool {
         s.ready()
-            && self.roster.open_under(&open.under, open.class, s)
+            && self.roster.open_under(&open.under, open.class, open.pool, s)
             && now < open.deadline
             && !open.streaming
-            && (open.attempts.len() as u32) < self.settings.max_attempts.max(1)
-            && (!open.out() || self.settings.second_copies)
+            && (open.attempts.len() as u32) < open.under.max_attempts.max(1)
+            && (!open.out() || open.under.second_copies)
             && self.in_group(now, open, s)
     }
 }
 
 impl Roster {
-    /// May a class be sent to this server? The origin of an aside deployment is open to all.
-    pub(super) fn open_to(&self, class: usize, s: &Server) -> bool {
-        self.open_under(&self.settings, class, s)
-    }
-
-    /// The same under settings that may not be the present ones.
-    pub(super) fn open_under(&self, settings: &Settings, class: usize, s: &Server) -> bool {
-        let fits = |set: &Option<Vec<u32>>, at: u32| set.as_ref().is_none_or(|set| set.contains(&at));
-        let placed = |c: &Class| fits(&c.zones, s.entry.zone) && fits(&c.kinds, s.entry.kind);
-        settings.classes.get(class).is_none_or(placed) || settings.aside && self.is_origin(s)
+    /// May a request be sent to this server? The origin of an aside deployment is open to all.
+    pub(super) fn open_under(&self, by: &Settings, class: usize, pool: Option<usize>, s: &Server) -> bool {
+        by.allows(class, pool, s.entry.zone, s.entry.kind) || by.aside && self.is_origin(s)
     }
 }
--- a/crates/decision/src/roster.rs
+++ b/crates/decision/src/roster.rs
@@ -93,7 +93,7 @@
         actions: &mut Vec<Action>,
     ) -> f64 {
         let mut out = 0.0;
-        if kind != ListKind::Delta {
+        if !matches!(kind, ListKind::Delta | ListKind::Overlay) {
             let named: FxHashSet<ServerId> = entries.iter().map(|e| e.server).collect();
             let mut gone: Vec<ServerId> = self.by_id.keys().filter(|s| !named.contains(s)).copied().collect();
             gone.sort_unstable();
--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -884,7 +884,7 @@
 fn servers_that_a_class_is_tied_to_get_fewer_keys_of_the_others() {
     // Danger: the servers open to a tied class bear it alone, and half of everything else besides.
     let mut s = settings();
-    let tied = Class { zones: Some(vec![0]), ..s.classes[0].clone() };
+    let tied = Class { only: Pool { zones: Some(vec![0]), kinds: None }, ..s.classes[0].clone() };
     s.classes.push(tied);
     let part = |s: &Settings| {
         let in_zone = |key: u64| {
@@ -1123,14 +1123,14 @@
     let zone = |server: ServerId| entries(0..9).iter().find(|e| e.server == server).map(|e| e.zone);
     let only = |zone: u32| {
         let mut only = settings();
-        only.classes[0].zones = Some(vec![zone]);
+        only.classes[0].only.zones = Some(vec![zone]);
         only
     };
     for key in 0..40u64 {
         let mut p = Proxy::with(only(0), entries(0..9));
         let (id, actions) = p.ask(key * 0x9e37_79b9);
         let first = sent(&actions).expect("sent");
-        assert_eq!((zone(first), p.balancer.reach(&only(1), 0)), (Some(0), 3));
+        assert_eq!(zone(first), Some(0));
         assert!(p.balancer.retune(only(1)));
         assert_eq!(zone(sent(&p.ask(key).1).expect("sent")), Some(1), "a later one goes by the new");
         let again = sent(&p.end(id, 0, first, Status::ConnectFailed, None)).expect("sent again");
@@ -1141,3 +1141,67 @@
     fewer.classes.clear();
     assert!(!p.balancer.retune(fewer), "classes are the platform's matter");
 }
+
+fn routed(pools: &[Option<u32>]) -> Settings {
+    let pool = |zone: &Option<u32>| Pool { zones: zone.map(|z| vec![z]), kinds: None };
+    Settings { pools: pools.iter().map(pool).collect(), ..settings() }
+}
+
+#[test]
+fn a_routed_request_goes_to_its_pool_and_learns_there_alone() {
+    let zone = |server: ServerId| entries(0..9).iter().find(|e| e.server == server).map(|e| e.zone);
+    let mut p = Proxy::with(routed(&[Some(0), Some(1)]), entries(0..9));
+    let to = |p: &mut Proxy, pool: Option<u32>, key: u64| {
+        let request = Request { key: Some(key), pool, remaining: 800 * MS, ..Request::default() };
+        let (id, actions) = p.ask_as(request);
+        let server = sent(&actions).expect("sent");
+        p.end(id, 0, server, Status::Ok, Some(true));
+        server
+    };
+    let keys: Vec<u64> = (0..60).map(|n| n * 0x9e37_79b9).collect();
+    let mut pass = || -> Vec<[ServerId; 3]> {
+        keys.iter().map(|key| [Some(0), Some(1), None].map(|pool| to(&mut p, pool, *key))).collect()
+    };
+    // At first each key is much of all that came, and spread.
+    (0..3).for_each(|_| drop(pass()));
+    let homes = pass();
+    assert!(homes.iter().all(|h| (zone(h[0]), zone(h[1])) == (Some(0), Some(1))));
+    assert!(homes.iter().any(|h| zone(h[2]) == Some(2)), "what is not routed may go anywhere");
+    assert_eq!(pass(), homes, "each pool has a home of its own for a key");
+}
+
+/// Danger: a version that adds a pool would have every key of the others find a new home, and miss.
+#[test]
+fn a_pool_that_is_added_moves_no_key_of_another_pool_and_few_of_the_rest() {
+    let first = |p: &mut Proxy, pool: Option<u32>, key: u64| {
+        let request = Request { key: Some(key), pool, remaining: 800 * MS, ..Request::default() };
+        let (id, actions) = p.ask_as(request);
+        let server = sent(&actions).expect("sent");
+        p.end(id, 0, server, Status::Ok, Some(true));
+        server
+    };
+    let mut p = Proxy::with(routed(&[Some(0)]), entries(0..21));
+    let keys: Vec<u64> = (0..200).map(|n| n * 0x9e37_79b9).collect();
+    let homes: Vec<_> = keys.iter().map(|k| (first(&mut p, Some(0), *k), first(&mut p, None, *k))).collect();
+    assert!(p.balancer.retune(routed(&[Some(0), Some(1)])));
+    let after: Vec<_> = keys.iter().map(|k| (first(&mut p, Some(0), *k), first(&mut p, None, *k))).collect();
+    assert!(homes.iter().zip(&after).all(|(a, b)| a.0 == b.0), "the other pool's keys stay");
+    // Zone 1 bears a pool now, so that fewer other keys are at home there.
+    let moved = homes.iter().zip(&after).filter(|(a, b)| a.1 != b.1).count();
+    assert!(moved < 70, "{moved} of 200 moved");
+}
+
+/// Danger: with retries turned off in a storm, requests that came before would go on repeating, or lose one that
+/// they were promised.
+#[test]
+fn what_is_turned_off_holds_for_requests_that_come_after() {
+    let mut p = Proxy::with(settings(), entries(0..9));
+    let (before, actions) = p.ask(KEY);
+    let first = sent(&actions).expect("sent");
+    assert!(p.balancer.retune(Settings { max_attempts: 1, ..settings() }));
+    let (after, actions) = p.ask(KEY + 1);
+    let other = sent(&actions).expect("sent");
+    assert!(sent(&p.end(before, 0, first, Status::ConnectFailed, None)).is_some(), "it came before");
+    let end = p.end(after, 0, other, Status::ConnectFailed, None);
+    assert!(matches!(end[..], [Action::Refuse { .. }]), "{end:?}");
+}
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -6,14 +6,35 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 #[derive(Clone, Debug)]
 enum Step {
-    Ask { class: u32, key: u64, remaining: u64, write: bool },
-    End { which: usize, status: usize },
-    Pass { ms: u64 },
-    Change { server: u64, state: usize, kind: ListKind },
-    Leave { which: usize },
+    Ask {
+        class: u32,
+        key: u64,
+        remaining: u64,
+        write: bool,
+    },
+    End {
+        which: usize,
+        status: usize,
+    },
+    Pass {
+        ms: u64,
+    },
+    Change {
+        server: u64,
+        state: usize,
+        kind: ListKind,
+    },
+    Leave {
+        which: usize,
+    },
+    /// Another version of the settings comes into force.
+    Swap {
+        which: usize,
+    },
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -25,6 +46,7 @@
         1 => (0u64..8, 0usize..3, prop_oneof![Just(ListKind::Delta), Just(ListKind::Full), Just(ListKind::Cached)])
             .prop_map(|(server, state, kind)| Step::Change { server, state, kind }),
         1 => (0usize..64).prop_map(|which| Step::Leave { which }),
+        1 => (0usize..8).prop_map(|which| Step::Swap { which }),
     ]
 }
 
@@ -50,6 +72,9 @@
 
 struct Asked {
     class: usize,
+    pool: Option<usize>,
+    /// The version that it came under.
+    under: Rc<Settings>,
     deadline: Nanos,
     over: bool,
     tries: Vec<Try>,
@@ -58,7 +83,9 @@
 /// The world around one proxy, which checks each action as it is made.
 struct World {
     proxy: Proxy,
-    settings: Settings,
+    settings: Rc<Settings>,
+    /// What may come into force, the first of them at the start.
+    versions: Vec<Rc<Settings>>,
     asked: BTreeMap<RequestId, Asked>,
     timers: Vec<(Nanos, u64)>,
     list: BTreeMap<ServerId, Entry>,
@@ -68,11 +95,18 @@
 
 impl World {
     fn new(settings: Settings) -> Self {
+        Self::of(vec![settings])
+    }
+
+    fn of(versions: Vec<Settings>) -> Self {
+        let versions: Vec<Rc<Settings>> = versions.into_iter().map(Rc::new).collect();
+        let settings = versions[0].clone();
         let list = entries(0..8);
-        let proxy = Proxy::new(settings.clone(), 11);
+        let proxy = Proxy::new((*settings).clone(), 11);
         let mut w = World {
             proxy,
             settings,
+            versions,
             asked: BTreeMap::new(),
             timers: Vec::new(),
             list: list.iter().map(|e| (e.server, e.clone())).collect(),
@@ -96,14 +130,17 @@
                         State::Ready,
                         "sent to a server that drains or is gone"
                     );
-                    assert!(r.tries.len() < self.settings.max_attempts as usize, "too many attempts");
-                    assert!(self.settings.second_copies || r.tries.iter().all(|t| !t.pending), "two at once");
+                    assert!(r.tries.len() < r.under.max_attempts as usize, "too many attempts");
+                    assert!(r.under.second_copies || r.tries.iter().all(|t| !t.pending), "two at once");
                     let class = &self.settings.classes[r.class];
                     let entry = &self.list[&server];
                     let origin = self.settings.aside && self.settings.origin_kind == Some(entry.kind);
                     let fits = |set: &Option<Vec<u32>>, v| set.as_ref().is_none_or(|s| s.contains(&v));
-                    let placed = fits(&class.zones, entry.zone) && fits(&class.kinds, entry.kind);
+                    let holds = |p: &Pool| fits(&p.zones, entry.zone) && fits(&p.kinds, entry.kind);
+                    let placed = holds(&r.under.classes[r.class].only);
                     assert!(origin || placed, "sent to a server that is not open to its class");
+                    let pool = r.pool.and_then(|p| r.under.pools.get(p));
+                    assert!(origin || pool.is_none_or(holds), "sent to a server outside its pool");
                     for t in r.tries.iter().filter(|t| t.pending || t.ran) {
                         let (old, new) = (&self.list[&t.server], &self.list[&server]);
                         match class.effect {
@@ -140,7 +177,7 @@
                 }
                 Action::Timer { token, delay } => self.timers.push((now + delay, token)),
                 Action::Cancel { id, attempt } => {
-                    assert!(self.settings.cancel);
+                    assert!(self.asked[&id].under.cancel);
                     assert!((attempt as usize) < self.asked[&id].tries.len());
                 }
                 Action::Close(server) => {
@@ -221,10 +258,16 @@
                 let class = class % self.settings.classes.len() as u32;
                 let id = self.asked.len() as u64 + 1;
                 let deadline = self.proxy.now + remaining * MS;
-                self.asked.insert(id, Asked { class: class as usize, deadline, over: false, tries: vec![] });
+                // Of each three keys two are routed to pools, where there are any.
+                let pool = self.settings.pools.len().checked_sub(1);
+                let pool = pool.filter(|_| !key.is_multiple_of(3)).map(|most| key as usize % (most + 1));
+                let (class_at, under) = (class as usize, self.settings.clone());
+                let asked = Asked { class: class_at, pool, under, deadline, over: false, tries: vec![] };
+                self.asked.insert(id, asked);
                 let base = Request::default();
                 let request = Request {
                     class,
+                    pool: pool.map(|p| p as u32),
                     key: Some(key),
                     tenant: Some(key as u32 % 4),
                     remaining: remaining * MS,
@@ -261,6 +304,10 @@
                 self.idle(server);
                 self.check(actions);
             }
+            Step::Swap { which } => {
+                self.settings = self.versions[which % self.versions.len()].clone();
+                assert!(self.proxy.balancer.retune((*self.settings).clone()), "as many classes and tenants");
+            }
             Step::Leave { which } => {
                 let open: Vec<RequestId> =
                     self.asked.iter().filter(|(_, r)| !r.over).map(|(id, _)| *id).collect();
@@ -275,11 +322,16 @@
 }
 
 fn hold(settings: Settings) {
+    hold_through(vec![settings]);
+}
+
+/// The rules through changes from one version of the settings to another.
+fn hold_through(versions: Vec<Settings>) {
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
     let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
     let mut runner = TestRunner::new_with_rng(config, rng);
     let run = runner.run(&proptest::collection::vec(step(), 1..120), |steps| {
-        let mut world = World::new(settings.clone());
+        let mut world = World::of(versions.clone());
         steps.into_iter().for_each(|s| world.step(s));
         world.pass(world.proxy.now + 5 * SECOND);
         Ok(())
@@ -352,15 +404,21 @@
 #[should_panic(expected = "was never answered")]
 fn the_checker_catches_a_lost_request() {
     let mut w = World::new(classes());
-    let request = Asked { class: 0, deadline: w.proxy.now + MS, over: false, tries: vec![] };
+    let (pool, under, deadline) = (None, w.settings.clone(), w.proxy.now + MS);
+    let request = Asked { class: 0, pool, under, deadline, over: false, tries: vec![] };
     w.asked.insert(99, request);
     w.pass(w.proxy.now + SECOND);
 }
 
+/// A part of the fleet; no kinds: any.
+fn part(zones: &[u32], kinds: &[u32]) -> Pool {
+    Pool { zones: Some(zones.to_vec()), kinds: (!kinds.is_empty()).then(|| kinds.to_vec()) }
+}
+
 fn placed() -> Settings {
     let mut s = classes();
     let base = s.classes[0].clone();
-    s.classes.push(Class { zones: Some(vec![0, 2]), kinds: Some(vec![0]), ..base });
+    s.classes.push(Class { only: part(&[0, 2], &[0]), ..base });
     Settings { let_go: 100 * MS, ..s }
 }
 
@@ -369,10 +427,29 @@
     hold(placed());
     hold(Settings { aside: true, origin_kind: Some(1), ..placed() });
     let mut nowhere = placed();
-    nowhere.classes[4].zones = Some(vec![]);
+    nowhere.classes[4].only.zones = Some(vec![]);
     hold(Settings { cold_from: f64::NAN, ..nowhere });
 }
 
+/// Danger: a request that is sent by half of one version and half of another obeys neither.
+#[test]
+fn rules_hold_while_pools_and_features_change_under_requests() {
+    let one = Settings { pools: vec![part(&[0], &[]), part(&[1, 2], &[0])], ..placed() };
+    let two = Settings { pools: vec![part(&[1], &[])], second_copies: false, max_attempts: 1, ..placed() };
+    let none = Settings { pools: vec![part(&[], &[]), part(&[2], &[1])], cancel: false, ..placed() };
+    hold_through(vec![one.clone(), two.clone(), none.clone(), placed()]);
+    let aside = |s: Settings| Settings { aside: true, origin_kind: Some(1), ..s };
+    hold_through([two, one, none, placed()].into_iter().map(aside).collect());
+}
+
+#[test]
+#[should_panic(expected = "sent to a server outside its pool")]
+fn the_checker_catches_a_send_outside_the_pool() {
+    let mut w = World::new(Settings { pools: vec![part(&[0], &[])], ..classes() });
+    w.step(Step::Ask { class: 0, key: 1, remaining: 500, write: false });
+    w.check(vec![Action::Send { id: 1, server: entry(1).server, timeout: 0 }]);
+}
+
 #[test]
 #[should_panic(expected = "not open to its class")]
 fn the_checker_catches_a_send_outside_the_class_s_zones() {
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -19,8 +19,7 @@
 use crate::state::Store;
 use crate::upstream::Upstreams;
 use crate::{admin, handover, Engine};
-use aniseyoke_core::limits::Rules;
-use aniseyoke_core::Limits;
+use aniseyoke_core::Plan;
 use aniseyoke_decision::api;
 use client::Client;
 use hyper::header::HeaderValue;
@@ -29,6 +28,7 @@
 use std::collections::HashSet;
 use std::future::Future;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::Signal;
@@ -66,12 +66,12 @@
 
 /// What the operator sets beyond the platform's settings.
 pub struct Beyond {
-    /// What may be out at nodes, where that is limited.
-    pub limits: Option<Rules>,
+    /// What the core is to work by.
+    pub plan: Arc<Plan>,
     /// What a call for the version is told; it changes with versions from a control service.
     pub about: Rc<RefCell<serde_json::Value>>,
     /// Called once the core runs, with the address where clients are taken.
-    pub started: Box<dyn FnOnce(Rc<Engine>, std::net::SocketAddr)>,
+    pub started: Box<dyn FnOnce(Rc<Engine>, std::net::SocketAddr) -> Result<(), String>>,
     /// Called once a second.
     pub each_second: Box<dyn Fn()>,
     /// Called when the platform's file is to be read again.
@@ -115,10 +115,9 @@
     let (addr, names) = (config.discovery, Rc::new(config.names));
     let discovery = Discovery::new(addr, version, settings.must_ask_in, names.clone());
     let known = config.known.as_ref().map_or_else(Vec::new, |known| names.entries(known));
-    let held = beyond.limits.map(|rules| Limits::new(rules, &config.settings)).transpose();
-    let held = held.map_err(|fault| fault.to_string())?;
-    let engine = Engine::new(config.settings, config.seed, &known, upstreams.clone(), watch, held);
-    (beyond.started)(engine.clone(), bound);
+    let engine = Engine::new(beyond.plan, config.seed, &known, upstreams.clone(), watch);
+    let engine = engine.map_err(|fault| fault.to_string())?;
+    (beyond.started)(engine.clone(), bound)?;
     let (moves, moved) = mpsc::unbounded_channel();
     tokio::task::spawn_local(discovery.follow(engine.clone(), asked, moved));
     tokio::task::spawn_local(async move {
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -66,6 +66,7 @@
             id: 0,
             class: class as u32,
             tenant: tenant.map(|t| t as u32),
+            pool: None,
             key: parts.next_back().filter(|k| !k.is_empty()).map(key),
             remaining: patience,
             write,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -13,15 +13,16 @@
 mod handover;
 pub mod operator;
 mod peers;
+mod plan;
 mod relay;
 #[cfg(test)]
 mod scratch;
 mod serve;
 mod socket;
 mod state;
-mod subscription;
 mod upload;
 mod upstream;
+mod versions;
 
 use http_body_util::Full;
 use hyper::body::Bytes;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::front::Beyond;
-use crate::subscription::{last_good, Below, InForce, Subscription};
+use crate::versions::{last_good, Below, InForce, Serving, Subscription};
 use crate::{front, operator};
 use aniseyoke_config::layers::Resolved;
 use aniseyoke_config::Fault;
@@ -12,7 +12,9 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
 /// Serves until it is told to end. What keeps it from starting is told on standard error, a line each.
@@ -44,10 +46,11 @@
     let log = aniseyoke_logging::start(&operator::log_options(&resolved.operator.log)).map_err(one)?;
     let platform = Config::from_env().map_err(one)?;
     let source = file.as_deref().map(operator::source).transpose().map_err(|fault| told(&[fault]))?;
-    let below = Below { platform, file: source };
+    let below = Arc::new(Below { platform, file: source });
     let control = resolved.operator.control.clone();
     let last = control.as_ref().and_then(|control| last_good(control, &below));
-    let (resolved, config) = below.with(last.as_ref()).map_err(|faults| told(&faults))?;
+    let (resolved, plan) = below.with(last.as_ref()).map_err(|faults| told(&faults))?;
+    let (config, last) = (below.platform.clone(), last.map(Arc::new));
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| one(format!("SIGTERM: {e}")))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| one(format!("SIGINT: {e}")))?;
     let stop = async move {
@@ -59,23 +62,23 @@
     let log = Rc::new(log);
     log.set_levels(&operator::log_levels(&resolved.operator.log));
     let (each_second, again, swapped) = (log.clone(), log.clone(), log);
-    let about = Rc::new(RefCell::new(about(&resolved, file.as_deref(), last.as_ref())));
-    let (limits, platform) = (resolved.operator.limits.clone(), below.platform.clone());
-    let in_force = Rc::new(RefCell::new(InForce { resolved, version: last }));
-    let rereads = in_force.clone();
-    let (told_about, memory, settings) = (about.clone(), config.memory, config.settings.clone());
+    let about = Rc::new(RefCell::new(about(&resolved, file.as_deref(), last.as_deref())));
+    let platform = below.clone();
+    let in_force = Rc::new(RefCell::new(InForce { resolved, version: last.clone() }));
+    let (rereads, told_about) = (in_force.clone(), about.clone());
     let beyond = Beyond {
-        limits,
+        plan: Arc::new(plan),
         about,
         started: Box::new(move |engine, at| {
-            if let Some(control) = control {
-                let subscription =
-                    Subscription::new(&control, engine, below, settings, in_force, swapped, told_about);
-                tokio::task::spawn_local(subscription.run(control, at, memory));
-            }
+            let Some(control) = control else { return Ok(()) };
+            let (orders, ordered) = mpsc::channel(1);
+            let subscription = Subscription::new(&control, below, orders, engine.tally());
+            let serving = Serving { engine, in_force, log: swapped, about: told_about };
+            tokio::task::spawn_local(serving.run(ordered));
+            subscription.start(control, at, last).map_err(|e| format!("no thread for versions: {e}"))
         }),
         each_second: Box::new(move || each_second.tell_left_out()),
-        reread: Box::new(move || reread(&platform, &rereads.borrow(), file.as_deref(), &again)),
+        reread: Box::new(move || reread(&platform.platform, &rereads.borrow(), file.as_deref(), &again)),
     };
     front::run(config, beyond, stop, hangup).await.map_err(one)
 }
@@ -96,7 +99,7 @@
     let source = file.map(operator::source).transpose().map_err(|fault| vec![fault]);
     let now = source.and_then(|file| {
         let below = Below { platform: platform.clone(), file };
-        below.with(in_force.version.as_ref())
+        below.with(in_force.version.as_deref())
     });
     match now {
         Ok((now, _)) => {
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -46,6 +46,11 @@
 }
 
 impl aniseyoke_core::Job for Job {
+    fn key(&self) -> &[u8] {
+        let path = self.uri.path().strip_prefix('/').unwrap_or("");
+        path.split_once('/').map_or("", |(_, key)| key).as_bytes()
+    }
+
     fn comes(&self) -> bool {
         self.body.upload().is_some()
     }
--- /dev/null
+++ b/crates/proxy/src/versions/below.rs
@@ -0,0 +1,86 @@
+//! The layers that a version is laid over, and the last good version from disk.
+
+use super::KEPT;
+use crate::config::Config;
+use crate::operator;
+use crate::plan::plan;
+use aniseyoke_config::layers::{environment, resolve, Resolved, Source};
+use aniseyoke_config::model::Control;
+use aniseyoke_config::Fault;
+use aniseyoke_control::store::{Disk, Found, Kept, Store};
+use aniseyoke_control::Version;
+use aniseyoke_core::Plan;
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+/// The layers below a control service's: the file, the environment, and the platform's settings under them.
+pub struct Below {
+    /// The platform's settings without anything laid over them.
+    pub platform: Config,
+    /// The operator's file, as it was read at the start.
+    pub file: Option<Source>,
+}
+
+impl Below {
+    /// What all layers come to with a version on top: the operator's part, and what the core is to work by.
+    ///
+    /// # Errors
+    /// All that is wrong with it.
+    pub fn with(&self, version: Option<&Version>) -> Result<(Resolved, Plan), Vec<Fault>> {
+        let mut layers: Vec<Source> = self.file.clone().into_iter().collect();
+        layers.extend(environment(operator::variables()));
+        if let Some(version) = version {
+            let unreadable = |why: String| {
+                vec![Fault { place: format!("version {}", version.stamp), key: String::new(), why }]
+            };
+            let text = toml::to_string(&version.body).map_err(|e| unreadable(e.to_string()))?;
+            layers.push(Source::Service(version.stamp.number, text));
+        }
+        let resolved = resolve(&layers)?;
+        let plan = plan(&resolved, &self.platform)?;
+        Ok((resolved, plan))
+    }
+}
+
+/// The last good version, if the folder has one that still can be put in force.
+pub fn last_good(control: &Control, below: &Below) -> Option<Version> {
+    let mut store = Store::new(Disk, control.dir.as_ref()?.join(KEPT));
+    match store.find() {
+        Ok(Found::Nothing) => None,
+        Ok(Found::Damaged { why, aside }) => {
+            let aside = aside.map_or("left".to_owned(), |to| format!("put aside as {}", to.display()));
+            tracing::warn!("the last good version is damaged and {aside}: {why}");
+            None
+        }
+        Ok(Found::Good(Kept { version, at_ms })) => match below.with(Some(&version)) {
+            Ok(_) => {
+                let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+                let age = std::time::Duration::from_secs(now.saturating_sub(at_ms) / 1000);
+                let age = humantime::format_duration(age);
+                tracing::info!(
+                    "version {} from disk is in force, {age} old and stale until a service says so",
+                    version.stamp
+                );
+                Some(version)
+            }
+            Err(faults) => {
+                faults
+                    .iter()
+                    .for_each(|f| tracing::warn!("the last good version does not fit here any more: {f}"));
+                None
+            }
+        },
+        Err(e) => {
+            tracing::warn!("the last good version can't be read: {e}");
+            None
+        }
+    }
+}
+
+/// What is in force: the layers as they came to be, and the version on top of them.
+pub struct InForce {
+    /// What the layers came to.
+    pub resolved: Resolved,
+    /// The version on top, if there is one.
+    pub version: Option<Arc<Version>>,
+}
--- /dev/null
+++ b/crates/proxy/src/versions/follow.rs
@@ -0,0 +1,143 @@
+//! The thread that follows control services: it reads each version, checks it against what runs, has it put in force and
+//! keeps it on disk.
+
+use super::serving::{Order, Ready};
+use super::{Below, InForce, KEPT};
+use crate::config::Names;
+use crate::operator::log_levels;
+use aniseyoke_config::model::Control;
+use aniseyoke_config::Fault;
+use aniseyoke_control::client::{follow, Host};
+use aniseyoke_control::follower::{Follower, Identity, Times};
+use aniseyoke_control::store::{Disk, Found, Kept, Store};
+use aniseyoke_control::Version;
+use aniseyoke_core::{Plan, Tally};
+use aniseyoke_decision::api::Entry;
+use aniseyoke_routes::review::{review, Harm, Side};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot};
+
+/// A frame may take this part of a proxy's memory: it is there as bytes, as JSON, as text and as what came before.
+const MEMORY_PART: usize = 16;
+
+/// What versions are checked against and kept by.
+pub struct Subscription {
+    below: Arc<Below>,
+    orders: mpsc::Sender<Order>,
+    tally: Arc<Tally>,
+    /// One writer at a time. Danger: two that write beside the same file would tear each other's.
+    store: Option<Arc<Mutex<Store<Disk>>>>,
+}
+
+impl Subscription {
+    /// What versions are laid over, where they are put in force, and what counts requests.
+    pub fn new(control: &Control, below: Arc<Below>, orders: mpsc::Sender<Order>, tally: Arc<Tally>) -> Self {
+        let store = control.dir.as_ref().map(|dir| Arc::new(Mutex::new(Store::new(Disk, dir.join(KEPT)))));
+        Subscription { below, orders, tally, store }
+    }
+
+    /// Follows the services on a thread of its own, as long as the process lives. `running` is in force already.
+    ///
+    /// # Errors
+    /// If there is no thread to be had.
+    pub fn start(
+        self,
+        control: Control,
+        at: SocketAddr,
+        running: Option<Arc<Version>>,
+    ) -> std::io::Result<()> {
+        let frame_most = (self.below.platform.memory / MEMORY_PART).min(aniseyoke_control::frame::FRAME_MOST);
+        let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64);
+        let instance = control.instance.unwrap_or_else(|| at.to_string());
+        let identity = Identity { instance, boot, labels: control.labels, frame_most };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let follows = move || {
+            let running = running.map(Arc::unwrap_or_clone);
+            let follower = Follower::new(identity, control.services.len(), running, Times::default(), boot);
+            let services = follow(follower, control.services, frame_most, self);
+            tokio::task::LocalSet::new().block_on(&runtime, services);
+        };
+        std::thread::Builder::new().name("versions".into()).spawn(follows).map(drop)
+    }
+
+    async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Result<T, Vec<String>> {
+        let ends = || vec!["the proxy ends".to_owned()];
+        let (tell, told) = oneshot::channel();
+        self.orders.send(order(tell)).await.map_err(|_| ends())?;
+        told.await.map_err(|_| ends())
+    }
+}
+
+/// Reads a version and judges it against what runs.
+fn read(below: &Below, now: &Plan, nodes: &[Entry], version: Version) -> Result<Ready, Vec<String>> {
+    let told = |faults: Vec<Fault>| faults.iter().map(ToString::to_string).collect::<Vec<_>>();
+    let (resolved, plan) = below.with(Some(&version)).map_err(told)?;
+    let side = |plan| -> Side<'_> {
+        let Plan { settings, routing, .. }: &Plan = plan;
+        Side { settings, routing }
+    };
+    let harm = review(side(now), side(&plan), nodes);
+    if !harm.is_empty() {
+        let pools: Vec<&str> = resolved.operator.pools.keys().map(String::as_str).collect();
+        return Err(harm.iter().map(|harm| words(harm, &below.platform.names, &pools)).collect());
+    }
+    let levels = log_levels(&resolved.operator.log);
+    let names = (resolved.digest(), version.stamp.to_string());
+    let in_force = InForce { resolved, version: Some(Arc::new(version)) };
+    Ok(Ready { plan: Arc::new(plan), levels, in_force, names })
+}
+
+/// What a service and those on call are told of harm.
+fn words(harm: &Harm, names: &Names, pools: &[&str]) -> String {
+    match harm {
+        Harm::NoNode { class, pool, had } => {
+            let routed = pool.and_then(|p| pools.get(p)).map(|name| format!(" routed to pool {name}"));
+            let (class, routed) = (&names.classes[*class], routed.unwrap_or_default());
+            format!("no node that takes work would be left for class {class}{routed}, which has {had}")
+        }
+        Harm::NoShare { tenant, was } => {
+            format!("the share of tenant {} would be nothing, and is {was}", names.tenants[*tenant])
+        }
+    }
+}
+
+impl Host for Subscription {
+    async fn apply(&self, version: Version) -> Result<(), Vec<String>> {
+        let stamp = version.stamp;
+        let (now, nodes) = self.ask(Order::Look).await?;
+        let below = self.below.clone();
+        // Frames are read meanwhile, so that of a flood only the newest counts.
+        let read = tokio::task::spawn_blocking(move || read(&below, &now, &nodes, version));
+        let ready = read.await.map_err(|e| vec![format!("it could not be read: {e}")])??;
+        let swapped = self.ask(|tell| Order::Swap(Box::new(ready), tell)).await?.map_err(|why| vec![why])?;
+        tracing::info!("version {stamp} is in force, swapped in {:?}", swapped.took);
+        Ok(())
+    }
+
+    fn keep(&self, version: Version) {
+        let Some(store) = self.store.clone() else { return };
+        // The disk may take its time; frames are read meanwhile.
+        tokio::task::spawn_blocking(move || {
+            let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+            let stamp = version.stamp;
+            let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
+            // A later version may have come to its turn before this one.
+            if matches!(store.find(), Ok(Found::Good(kept)) if kept.version.stamp > stamp) {
+                return;
+            }
+            if let Err(e) = store.keep(&Kept { version, at_ms }) {
+                tracing::error!("version {stamp} could not be kept on disk: {e}");
+            }
+        });
+    }
+
+    fn say(&self, what: &str) {
+        tracing::warn!("{what}");
+    }
+
+    fn answered(&self) -> [u64; 3] {
+        self.tally.take()
+    }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -49,8 +49,8 @@
                     "dedup_window_ns" => set(&mut c.dedup_window, path, v)?,
                     "late_value" => set(&mut c.late_value, path, v)?,
                     "value" => set(&mut c.worth, path, v)?,
-                    "allowed_in" => c.zones = Some(row(path, v)?),
-                    "allowed_on" => c.kinds = Some(row(path, v)?),
+                    "allowed_in" => c.only.zones = Some(row(path, v)?),
+                    "allowed_on" => c.only.kinds = Some(row(path, v)?),
                     "stream" => set(&mut c.stream, path, v)?,
                     "effect" => {
                         c.effect = match v {
