Measure versions at fifty real proxies, and read ten thousand routes without counting lines anew

Need: the cost of a swap with 10,000 routes and the time to force at 50 real proxies were not measured; tests each had a service of their own making.

Change: `aniseyoke-lab versions` starts real proxies behind a hosted service and tells time to force, how long swaps hold the serving thread up, what calls at one proxy take, CPU and memory. The service notes how long each proxy took. The check of a text finds lines by bisection: a test with 10,000 routes showed that it counted them anew for each key.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -46,7 +46,8 @@
 
 /// Checks one text. `place` names it, and `lines` says whether lines and columns mean anything in it.
 pub fn check(text: &str, place: &str, lines: bool) -> Checked {
-    let mut walk = Walk { text, place, lines, faults: Vec::new(), places: Vec::new() };
+    let starts = std::iter::once(0).chain(text.match_indices('\n').map(|(n, _)| n + 1)).collect();
+    let mut walk = Walk { starts, place, lines, faults: Vec::new(), places: Vec::new() };
     let (table, errors) = DeTable::parse_recoverable(text);
     for error in errors {
         let at = error.span().map_or(0, |span| span.start);
@@ -62,7 +63,8 @@
 }
 
 struct Walk<'a> {
-    text: &'a str,
+    /// Where each line begins. Danger: to count lines anew for each key takes seconds for ten thousand routes.
+    starts: Vec<usize>,
     place: &'a str,
     lines: bool,
     /// With where each stands, so that they can be told in that order.
@@ -72,10 +74,8 @@
 
 impl Walk<'_> {
     fn at(&self, offset: usize) -> (usize, usize) {
-        let before = &self.text.as_bytes()[..offset.min(self.text.len())];
-        let line = before.iter().filter(|b| **b == b'\n').count() + 1;
-        let start = before.iter().rposition(|b| *b == b'\n').map_or(0, |n| n + 1);
-        (line, before.len() - start + 1)
+        let line = self.starts.partition_point(|start| *start <= offset).max(1);
+        (line, offset - self.starts[line - 1] + 1)
     }
 
     fn fault(&mut self, offset: usize, key: String, why: String) {
--- a/crates/control/src/measure.rs
+++ b/crates/control/src/measure.rs
@@ -1,19 +1,18 @@
 //! How long it takes from publishing to in force, at emulated proxies, and what it costs the service.
 
 use aniseyoke_control::frame::{encode, FromProxy, FRAME_MOST, HEAD, PROTOCOL};
+use aniseyoke_control::hosted::Hosted;
 use aniseyoke_control::rollout::Plan;
-use aniseyoke_control::service::Service;
-use aniseyoke_control::{Publisher, Stamp};
+use aniseyoke_control::Stamp;
 use hdrhistogram::Histogram;
-use nix::sys::resource::{getrlimit, getrusage, setrlimit, Resource, UsageWho};
-use nix::sys::time::TimeValLike;
+use nix::sys::resource::{getrlimit, setrlimit, Resource};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::mpsc::{channel, Sender};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::task::LocalSet;
 
 /// All proxies have a version within this time, or the measurement fails.
@@ -75,50 +74,11 @@
     }
 }
 
-/// Opens a service in a thread of its own. Its order to publish goes in, the thread's CPU time comes out with the
-/// moment it began.
-fn service(order: std::sync::mpsc::Receiver<Value>, told: Sender<(SocketAddr, Instant, Duration)>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    LocalSet::new().block_on(&runtime, async move {
-        let service = Service::new(Publisher::new(1));
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let addr = listener.local_addr().expect("an address");
-        tokio::task::spawn_local(service.clone().serve(listener));
-        let cpu = || {
-            let usage = getrusage(UsageWho::RUSAGE_THREAD).expect("usage");
-            let all = usage.user_time() + usage.system_time();
-            Duration::from_micros(u64::try_from(all.num_microseconds()).unwrap_or(0))
-        };
-        if told.send((addr, Instant::now(), cpu())).is_err() {
-            return;
-        }
-        loop {
-            match order.try_recv() {
-                Ok(Value::Null) => _ = told.send((addr, Instant::now(), cpu())),
-                Ok(body) => {
-                    let (at, before) = (Instant::now(), cpu());
-                    service.publish(body, Plan::default()).expect("published");
-                    let _ = told.send((addr, at, before));
-                }
-                Err(std::sync::mpsc::TryRecvError::Disconnected) => return,
-                Err(std::sync::mpsc::TryRecvError::Empty) => {
-                    tokio::time::sleep(Duration::from_millis(1)).await
-                }
-            }
-        }
-    });
-}
-
-fn lost<E>(_: E) -> String {
-    "the service broke".into()
-}
-
 pub fn run(m: &Measure) -> Result<(), String> {
     let (_, hard) = getrlimit(Resource::RLIMIT_NOFILE).map_err(|e| e.to_string())?;
     setrlimit(Resource::RLIMIT_NOFILE, hard, hard).map_err(|e| e.to_string())?;
-    let ((order, orders), (tell, told)) = (channel(), channel());
-    std::thread::spawn(move || service(orders, tell));
-    let (addr, ..) = told.recv().map_err(lost)?;
+    let service = Hosted::start(1).map_err(|e| e.to_string())?;
+    let addr = service.addr;
     let (applied, times) = channel();
     let proxies = m.proxies;
     std::thread::spawn(move || {
@@ -147,8 +107,8 @@
         body(m.routes, 0).to_string().len()
     );
     for n in 0..=m.versions {
-        order.send(body(m.routes, n)).map_err(lost)?;
-        let (_, published, before) = told.recv().map_err(lost)?;
+        let before = service.cpu();
+        let (_, published) = service.publish(body(m.routes, n), Plan::default())?;
         let mut spans =
             Histogram::<u64>::new_with_max(WITHIN.as_micros() as u64, 3).map_err(|e| e.to_string())?;
         let mut bytes = 0;
@@ -160,8 +120,7 @@
         }
         // What they answered has to be read as well.
         std::thread::sleep(Duration::from_millis(500));
-        order.send(Value::Null).map_err(lost)?;
-        let (_, _, after) = told.recv().map_err(lost)?;
+        let after = service.cpu();
         let ms = |q: f64| spans.value_at_quantile(q) as f64 / 1000.0;
         println!(
             "{}: taken after {:.1} ms (p50), {:.1} ms (p99), {:.1} ms (all); {bytes} bytes, CPU of the service {:.0} ms",
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -54,6 +54,9 @@
     pub running: Option<Stamp>,
     /// What it is to run.
     pub wanted: Option<Stamp>,
+    /// How long after its publishing it said so, in nanoseconds; none where it ran it before it connected.
+    #[serde(default)]
+    pub took: Option<u64>,
     /// What it turned down last, and why.
     pub refused: Option<(Stamp, Vec<String>)>,
 }
@@ -64,6 +67,7 @@
     labels: BTreeMap<String, String>,
     frame_most: usize,
     running: Option<(Stamp, String)>,
+    took: Option<Nanos>,
     /// Sent, and not answered yet.
     sent: Option<Stamp>,
     refused: Option<(Stamp, Vec<String>)>,
@@ -74,6 +78,8 @@
 struct Held {
     version: Version,
     bytes: usize,
+    /// When it was published.
+    at: Nanos,
 }
 
 /// A service's side.
@@ -118,6 +124,7 @@
             instance: s.instance.clone(),
             boot: s.boot,
             running: s.running.as_ref().map(|r| r.0),
+            took: s.took,
             wanted: self.wanted(s),
             refused: s.refused.clone(),
         };
@@ -152,7 +159,7 @@
                 self.settled = Some(before.stamp());
             }
         }
-        self.history.push_back(Held { version, bytes: bytes.len() });
+        self.history.push_back(Held { version, bytes: bytes.len(), at: now });
         let total = |history: &VecDeque<Held>| history.iter().map(|h| h.bytes).sum::<usize>();
         while self.history.len() > HISTORY || self.history.len() > 2 && total(&self.history) > HISTORY_BYTES {
             // What those run who do not get the newest yet stays, or a halted rollout could not be left.
@@ -206,7 +213,9 @@
     pub fn frame(&mut self, now: Nanos, id: Id, frame: FromProxy, out: &mut Vec<Outgoing>) {
         if let FromProxy::Hello { protocol, instance, boot, labels, frame_most, running } = frame {
             let (sent, refused, heard, said) = (None, None, now, now);
-            let s = Subscriber { instance, boot, labels, frame_most, running, sent, refused, heard, said };
+            let took = None;
+            let s =
+                Subscriber { instance, boot, labels, frame_most, running, took, sent, refused, heard, said };
             return self.hello(now, id, protocol, s, out);
         }
         let Some(s) = self.subscribers.get_mut(&id) else {
@@ -217,8 +226,9 @@
             FromProxy::Hello { .. } | FromProxy::Alive => {}
             FromProxy::Taken { stamp } => {
                 s.sent = s.sent.filter(|sent| *sent != stamp);
-                let digest = self.history.iter().find(|h| h.version.stamp == stamp);
-                s.running = digest.map(|h| (stamp, h.version.digest.clone()));
+                let held = self.history.iter().find(|h| h.version.stamp == stamp);
+                s.running = held.map(|h| (stamp, h.version.digest.clone()));
+                s.took = held.map(|h| now.saturating_sub(h.at));
                 s.refused = s.refused.take().filter(|(refused, _)| *refused > stamp);
                 self.send(now, id, false, out);
             }
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,5 +1,7 @@
 //! What can be asked of the laboratory.
 
+mod versions;
+
 use aniseyoke_lab::audit::Recorder;
 use aniseyoke_lab::clock::{Clock, MS};
 use aniseyoke_lab::day::{proxy_config, Day, BUILTIN};
@@ -32,6 +34,8 @@
     Compare(Compare),
     /// Play a day at several multiples of its rate, before one or more builds, and plot goodput against load.
     Sweep(Sweep),
+    /// Publish versions of the configuration to a fleet of real proxies, and measure what they take.
+    Versions(versions::Versions),
     /// Open a site and keep it until Ctrl-C; a configuration for each proxy is written.
     Site(Stand),
     /// Send a day's load to proxies, or to anything that speaks the platform's protocol.
@@ -171,6 +175,7 @@
         Command::Try(args) => try_day(&args),
         Command::Compare(args) => compare(&args),
         Command::Sweep(args) => sweep(&args),
+        Command::Versions(args) => versions::run(&args),
         Command::Site(args) => stand(&args),
         Command::Load(args) => send(&args),
         Command::Day(command) => days(&command),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`load`]: clients in open loop, well-behaved and not.
 //! - [`audit`]: what clients sent and got and what nodes received, held against the rules.
 //! - [`trial`]: one day from start to end: site, subjects, load, audit, report.
+//! - [`fleet`]: many real proxies behind one control service.
 //! - [`floor`]: a bare pass-through, the least that any proxy costs.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -13,6 +14,7 @@
 pub mod audit;
 pub mod clock;
 pub mod day;
+pub mod fleet;
 pub mod floor;
 pub mod load;
 pub mod site;
--- a/crates/proxy/tests/versions.rs
+++ b/crates/proxy/tests/versions.rs
@@ -2,83 +2,39 @@
 
 mod rig;
 
+use aniseyoke_control::hosted::Hosted;
 use aniseyoke_control::publisher::Row;
 use aniseyoke_control::rollout::Plan;
-use aniseyoke_control::service::Service;
 use aniseyoke_control::store::{Disk, Kept, Store};
-use aniseyoke_control::{Publisher, Stamp, Version};
+use aniseyoke_control::{Stamp, Version};
 use rig::*;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::mpsc::{channel, Receiver, Sender};
-use tokio::net::TcpListener;
-use tokio::task::LocalSet;
-
-enum Order {
-    Publish(Value),
-    Rows,
-}
-
-enum Told {
-    Published(Stamp),
-    Rows(Vec<Row>),
-}
 
 /// A service in a thread of its own, ended with the test.
-struct Control {
-    addr: SocketAddr,
-    orders: Sender<Order>,
-    told: Receiver<Told>,
-}
+struct Control(Hosted);
 
 fn control(epoch: u64) -> Control {
-    let ((orders, ordered), (tell, told), (found, addr)) = (channel(), channel(), channel());
-    std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        LocalSet::new().block_on(&runtime, async move {
-            let service = Service::new(Publisher::new(epoch));
-            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-            found.send(listener.local_addr().expect("an address")).expect("awaited");
-            tokio::task::spawn_local(service.clone().serve(listener));
-            loop {
-                tokio::time::sleep(std::time::Duration::from_millis(2)).await;
-                let answer = match ordered.try_recv() {
-                    Ok(Order::Publish(body)) => {
-                        Told::Published(service.publish(body, Plan::default()).expect("published"))
-                    }
-                    Ok(Order::Rows) => Told::Rows(service.look(|p| p.rows())),
-                    Err(std::sync::mpsc::TryRecvError::Empty) => continue,
-                    Err(std::sync::mpsc::TryRecvError::Disconnected) => return,
-                };
-                if tell.send(answer).is_err() {
-                    return;
-                }
-            }
-        });
-    });
-    Control { addr: addr.recv().expect("started"), orders, told }
+    Control(Hosted::start(epoch).expect("started"))
 }
 
 impl Control {
+    fn addr(&self) -> SocketAddr {
+        self.0.addr
+    }
+
     fn publish(&self, body: Value) -> Stamp {
-        self.orders.send(Order::Publish(body)).expect("it runs");
-        match self.told.recv().expect("it runs") {
-            Told::Published(stamp) => stamp,
-            Told::Rows(_) => unreachable!("it was not asked"),
-        }
+        self.0.publish(body, Plan::default()).expect("published").0
     }
 
     fn row(&self) -> Option<Row> {
-        self.orders.send(Order::Rows).expect("it runs");
-        match self.told.recv().expect("it runs") {
-            Told::Rows(rows) => rows.into_iter().next(),
-            Told::Published(_) => unreachable!("it was not asked"),
-        }
+        self.0.rows().into_iter().next()
     }
 
     fn runs(&self, stamp: Stamp) {
         until("it runs", || self.row().is_some_and(|r| r.running == Some(stamp)));
+        assert!(self.row().is_some_and(|r| r.took.is_some()), "it was told so");
     }
 
     fn refusal(&self, stamp: Stamp) -> String {
@@ -135,7 +91,7 @@
 #[test]
 fn a_version_comes_into_force_while_requests_are_open_and_goes_again() {
     let (site, control) = (Site::new(), control(1));
-    let mut proxy = site.start(&[control.addr]);
+    let mut proxy = site.start(&[control.addr()]);
     let door = proxy.door();
     let (mut first, mut second) = (proxy.client(), proxy.client());
     first.ask("read", "");
@@ -164,7 +120,7 @@
 #[test]
 fn versions_that_would_do_harm_are_turned_down_with_all_reasons_and_what_runs_stays() {
     let (site, control) = (Site::new(), control(1));
-    let mut proxy = site.start(&[control.addr]);
+    let mut proxy = site.start(&[control.addr()]);
     let door = proxy.door();
     let good = control.publish(json!({ "log": { "burst": 7 } }));
     control.runs(good);
@@ -192,11 +148,11 @@
 fn the_last_good_version_outlives_a_restart_without_any_service() {
     let site = Site::new();
     let service = control(1);
-    let proxy = site.start(&[service.addr]);
+    let proxy = site.start(&[service.addr()]);
     let stamp = service.publish(one_at_a_time());
     service.runs(stamp);
     until("it is kept", || site.kept().exists());
-    let addr = service.addr;
+    let addr = service.addr();
     drop((proxy, service));
     let mut again = site.start(&[addr]);
     assert_eq!(version_at(again.door())["version"].as_str(), Some(stamp.to_string().as_str()));
@@ -219,7 +175,7 @@
     bytes[100] ^= 1;
     std::fs::write(site.kept(), &bytes).expect("written");
     let service = control(2);
-    let mut proxy = site.start(&[service.addr]);
+    let mut proxy = site.start(&[service.addr()]);
     assert_eq!(version_at(proxy.door())["version"], Value::Null);
     assert!(site.kept().with_file_name("aniseyoke-version.damaged").exists());
     let stamp = service.publish(json!({ "log": { "burst": 3 } }));
@@ -232,8 +188,99 @@
         let mut store = Store::new(Disk, site.kept());
         matches!(store.find(), Ok(aniseyoke_control::store::Found::Good(k)) if k.version.stamp == stamp)
     });
-    let proxy = site.start(&[old.addr]);
+    let proxy = site.start(&[old.addr()]);
     let why = old.refusal(Stamp { epoch: 1, number: 1 });
     assert!(why.contains("older"), "{why}");
     assert_eq!(proxy.health(), 200);
 }
+
+/// A proxy that follows a service, before two cache nodes of two kinds.
+fn two_kinds(site: &Site, service: &Control) -> (Proxy, [Server; 2]) {
+    let path = site.folder.path().join("operator.toml");
+    std::fs::write(&path, format!("[control]\nservices = [\"{}\"]\n", service.addr())).expect("written");
+    let caches = [Server::new(), Server::new()];
+    let servers = [
+        member("c1", caches[0].addr, "std", "ready"),
+        member("c2", caches[1].addr, "fast", "ready"),
+        member("o1", site.origin.addr, "origin", "ready"),
+    ];
+    let mut config = config(site.discovery.addr, &servers);
+    config["settings"]["machine_types"] = json!(["std", "origin", "fast"]);
+    (Proxy::with(&config, |c| _ = c.env("ANISEYOKE_FILE", &path)), caches)
+}
+
+fn pools() -> Value {
+    json!({ "std": { "kinds": ["std"] }, "fast": { "kinds": ["fast"] } })
+}
+
+/// Whom a request goes to.
+fn asked(client: &mut Peer, caches: &[Server; 2], peers: &mut [Option<Peer>; 2], to: usize) {
+    client.ask("read", "");
+    let node = peers[to].get_or_insert_with(|| caches[to].take());
+    assert!(node.request().line.contains("/read/7f3a9c21e0b4d655"));
+    node.reply("200 OK", "X-Lookup: hit\r\n", "value");
+    assert_eq!(client.answer().status(), 200);
+}
+
+#[test]
+fn requests_go_to_the_pool_of_the_first_route_that_fits_and_open_ones_stay_where_they_are() {
+    let (site, service) = (Site::new(), control(1));
+    let (proxy, caches) = two_kinds(&site, &service);
+    let (mut client, mut peers) = (proxy.client(), [None, None]);
+    let route = |body: Value| json!({ "pools": pools(), "routes": body });
+    let by_prefix = json!([{ "prefix": "7f3b", "pool": "std" }, { "prefix": "7f3", "pool": "fast" }]);
+    service.runs(service.publish(route(by_prefix)));
+    (0..5).for_each(|_| asked(&mut client, &caches, &mut peers, 1));
+    let mut early = proxy.client();
+    early.ask("read", "");
+    let mut node = peers[1].take().expect("a connection");
+    node.request();
+    let by_tenant = json!([{ "class": "order", "pool": "fast" }, { "tenant": "acme", "pool": "std" }]);
+    service.runs(service.publish(route(by_tenant)));
+    (0..5).for_each(|_| asked(&mut client, &caches, &mut peers, 0));
+    node.reply("200 OK", "X-Lookup: hit\r\n", "value");
+    assert_eq!(early.answer().status(), 200, "what was open has its answer from where it was");
+    let why = service.refusal(service.publish(route(json!([{ "tenant": "nobody", "pool": "std" }]))));
+    assert!(why.contains("names no tenant \"nobody\""), "{why}");
+}
+
+#[test]
+fn a_remark_takes_a_node_out_of_service_and_one_that_would_take_the_last_is_turned_down() {
+    let (site, service) = (Site::new(), control(1));
+    let (proxy, caches) = two_kinds(&site, &service);
+    let (mut client, mut peers) = (proxy.client(), [None, None]);
+    let drain = |on: Value| json!({ "overlays": [on] });
+    service.runs(service.publish(drain(json!({ "node": "c2", "drain": true }))));
+    (0..5).for_each(|_| asked(&mut client, &caches, &mut peers, 0));
+    service.runs(service.publish(drain(json!({ "kind": "std", "drain": true }))));
+    (0..5).for_each(|_| asked(&mut client, &caches, &mut peers, 1));
+    let why = service.refusal(service.publish(drain(json!({ "zone": "a", "drain": true }))));
+    assert!(why.contains("no node that takes work would be left for class read, which has 1"), "{why}");
+    let lost = json!({ "pools": pools(), "overlays": [{ "node": "c1", "drain": true }],
+                       "routes": [{ "class": "read", "pool": "std" }] });
+    let why = service.refusal(service.publish(lost));
+    assert!(why.contains("class read routed to pool std"), "{why}");
+    asked(&mut client, &caches, &mut peers, 1);
+    service.runs(service.publish(json!({})));
+    assert_eq!(proxy.health(), 200);
+}
+
+/// Danger: ten thousand routes that name a class with a slip would be ten thousand reasons in one frame.
+#[test]
+fn ten_thousand_routes_come_into_force_and_a_slip_in_all_of_them_is_told_in_short() {
+    let (site, service) = (Site::new(), control(1));
+    let (mut proxy, caches) = two_kinds(&site, &service);
+    let (mut client, mut peers) = (proxy.client(), [None, None]);
+    let routes = |class: &str| {
+        let route = |n: u32| json!({ "class": class, "prefix": format!("{n:05}/"), "pool": "std" });
+        let mut routes: Vec<Value> = (0..10_000).map(route).collect();
+        routes.push(json!({ "prefix": "7f3a", "pool": "fast" }));
+        json!({ "pools": pools(), "routes": routes })
+    };
+    service.runs(service.publish(routes("read")));
+    asked(&mut client, &caches, &mut peers, 1);
+    proxy.logged("swapped in");
+    let why = service.refusal(service.publish(routes("raed")));
+    assert!(why.contains("names no class \"raed\"") && why.len() < 20_000, "{}", why.len());
+    asked(&mut client, &caches, &mut peers, 1);
+}
