Keep versions as text, check them as trees, and give them a bounded part of a proxy's memory

Change: a body is canonical text, parsed where it is needed; the check walks a text or a tree alike, and notes no places inside lists that have no lines; one worker reads.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -1,11 +1,11 @@
 //! Checks a layer against the schema, and tells all faults at once with their places.
 
+use crate::node::{members, Member, Node, Shape};
 use crate::schema::{choices, kind, meant, member, schema};
 use serde_json::Value;
 use std::fmt;
 use std::time::Duration;
-use toml::de::{DeTable, DeValue};
-use toml::Spanned;
+use toml::de::DeTable;
 
 /// Something that is wrong, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -34,18 +34,17 @@
 /// The same by Damerau and Levenshtein.
 const SWAPPED: f64 = 0.6;
 
-/// A text, parsed as far as it can be, with what is wrong with it.
+/// What a check of a layer found.
 pub struct Checked {
-    /// What could be read.
-    pub table: toml::Table,
-    /// Keys and where they stand, as line and column from 1.
+    /// Keys and where they stand, as line and column from 1. Of a list in a layer without lines the list alone.
     pub places: Vec<(String, (usize, usize))>,
     /// All that is wrong.
     pub faults: Vec<Fault>,
 }
 
-/// Checks one text. `place` names it, and `lines` says whether lines and columns mean anything in it.
-pub fn check(text: &str, place: &str, lines: bool) -> Checked {
+/// Checks one text. `place` names it, and `lines` says whether lines and columns mean anything in it. Returns what could
+/// be read as well.
+pub fn check(text: &str, place: &str, lines: bool) -> (Value, Checked) {
     let starts = std::iter::once(0).chain(text.match_indices('\n').map(|(n, _)| n + 1)).collect();
     let mut walk = Walk { starts, place, lines, faults: Vec::new(), places: Vec::new() };
     let (table, errors) = DeTable::parse_recoverable(text);
@@ -54,18 +53,28 @@
         walk.fault(at, String::new(), error.message().to_owned());
     }
     if walk.faults.is_empty() {
-        walk.table("", schema(), table.get_ref());
+        walk.table("", schema(), members(table.get_ref()), true);
     }
     // What holds no fault can be read as plain TOML.
-    let table = if walk.faults.is_empty() { text.parse().unwrap_or_default() } else { toml::Table::new() };
-    walk.faults.sort_by_key(|(offset, _)| *offset);
-    Checked { table, places: walk.places, faults: walk.faults.into_iter().map(|(_, fault)| fault).collect() }
+    let read = walk.faults.is_empty().then(|| text.parse::<toml::Table>().ok()).flatten();
+    let value = read.and_then(|table| serde_json::to_value(table).ok());
+    (value.unwrap_or_else(|| Value::Object(serde_json::Map::new())), walk.done())
 }
 
-struct Walk<'a> {
+/// Checks a tree; `place` names the layer.
+pub fn check_tree(tree: &Value, place: &str) -> Checked {
+    let mut walk = Walk { starts: vec![0], place, lines: false, faults: Vec::new(), places: Vec::new() };
+    match Node::Json(tree).shape() {
+        Shape::Table(members) => walk.table("", schema(), members, true),
+        other => walk.fault(0, String::new(), format!("a table is wanted, not {}", other.words())),
+    }
+    walk.done()
+}
+
+struct Walk<'p> {
     /// Where each line begins. Danger: to count lines anew for each key takes seconds for ten thousand routes.
     starts: Vec<usize>,
-    place: &'a str,
+    place: &'p str,
     lines: bool,
     /// With where each stands, so that they can be told in that order.
     faults: Vec<(usize, Fault)>,
@@ -73,6 +82,11 @@
 }
 
 impl Walk<'_> {
+    fn done(mut self) -> Checked {
+        self.faults.sort_by_key(|(offset, _)| *offset);
+        Checked { places: self.places, faults: self.faults.into_iter().map(|(_, fault)| fault).collect() }
+    }
+
     fn at(&self, offset: usize) -> (usize, usize) {
         let line = self.starts.partition_point(|start| *start <= offset).max(1);
         (line, offset - self.starts[line - 1] + 1)
@@ -88,15 +102,17 @@
         }
     }
 
-    fn table(&mut self, path: &str, node: &'static Value, table: &DeTable<'_>) {
-        for (name, value) in table.iter() {
-            let (offset, name) = (name.span().start, name.get_ref().as_ref());
+    /// `noted`: the places of its keys are kept. Danger: those of ten thousand routes take more memory than the routes.
+    fn table(&mut self, path: &str, node: &'static Value, table: Vec<Member<'_>>, noted: bool) {
+        for (name, offset, value) in table {
             let key = if path.is_empty() { name.to_owned() } else { format!("{path}.{name}") };
             match member(node, name) {
                 Some(own) => {
-                    let at = self.at(offset);
-                    self.places.push((key.clone(), at));
-                    self.value(key, own, value);
+                    if noted {
+                        let at = self.at(offset);
+                        self.places.push((key.clone(), at));
+                    }
+                    self.value(key, own, value, noted);
                 }
                 None => {
                     let why = unknown(node, name);
@@ -106,38 +122,33 @@
         }
     }
 
-    fn value(&mut self, key: String, own: &'static Value, value: &Spanned<DeValue<'_>>) {
-        let (node, offset) = (meant(own), value.span().start);
+    fn value(&mut self, key: String, own: &'static Value, value: Node<'_>, noted: bool) {
+        let (node, offset) = (meant(own), value.offset());
         let duration = told(own, node, "x-kind").is_some_and(|kind| kind == "duration");
         let wanted = kind(node);
-        match (wanted, value.get_ref()) {
-            ("object", DeValue::Table(table)) => self.table(&key, node, table),
-            ("array", DeValue::Array(list)) => {
-                for (n, item) in list.iter().enumerate() {
-                    self.value(format!("{key}.{n}"), &node["items"], item);
+        match (wanted, value.shape()) {
+            ("object", Shape::Table(table)) => self.table(&key, node, table, noted),
+            ("array", Shape::List(list)) => {
+                let noted = noted && self.lines;
+                for (n, item) in list.into_iter().enumerate() {
+                    self.value(format!("{key}.{n}"), &node["items"], item, noted);
                 }
             }
-            ("string", DeValue::String(text)) if duration => {
+            ("string", Shape::Text(text)) if duration => {
                 if let Err(why) = span(text, own, node) {
                     self.fault(offset, key, why);
                 }
             }
-            ("string", DeValue::String(text)) => {
+            ("string", Shape::Text(text)) => {
                 let may = choices(node);
-                if !may.is_empty() && !may.contains(&text.as_ref()) {
+                if !may.is_empty() && !may.contains(&text) {
                     self.fault(offset, key, format!("{text:?} is none of {}", may.join(", ")));
                 }
             }
-            ("boolean", DeValue::Boolean(_)) => {}
-            ("integer", DeValue::Integer(n)) => {
-                let number = i64::from_str_radix(n.as_str(), n.radix()).ok();
-                self.number(offset, key, number.map(|n| n as f64), own, node);
+            ("boolean", Shape::Truth) => {}
+            ("integer" | "number", Shape::Whole(n)) | ("number", Shape::Point(n)) => {
+                self.number(offset, key, n, own, node);
             }
-            ("number", DeValue::Integer(n)) => {
-                let number = i64::from_str_radix(n.as_str(), n.radix()).ok();
-                self.number(offset, key, number.map(|n| n as f64), own, node);
-            }
-            ("number", DeValue::Float(n)) => self.number(offset, key, n.as_str().parse().ok(), own, node),
             (_, given) => {
                 let wanted = match (duration, wanted) {
                     (true, _) => "a text with a time and its unit, such as \"100ms\"",
@@ -148,7 +159,7 @@
                     (_, "integer") => "a whole number",
                     _ => "a number",
                 };
-                self.fault(offset, key, format!("{wanted} is wanted, not {}", shape(given)));
+                self.fault(offset, key, format!("{wanted} is wanted, not {}", given.words()));
             }
         }
     }
@@ -199,18 +210,6 @@
     Ok(())
 }
 
-fn shape(value: &DeValue<'_>) -> &'static str {
-    match value {
-        DeValue::String(_) => "a text",
-        DeValue::Integer(_) => "a whole number",
-        DeValue::Float(_) => "a number with a point",
-        DeValue::Boolean(_) => "true or false",
-        DeValue::Datetime(_) => "a date",
-        DeValue::Array(_) => "a list",
-        DeValue::Table(_) => "a table",
-    }
-}
-
 fn unknown(node: &Value, name: &str) -> String {
     let known = || node["properties"].as_object().into_iter().flatten().map(|(known, _)| known.as_str());
     // The one sees slips in long names, the other letters that changed places in short ones.
@@ -231,7 +230,7 @@
     use super::*;
 
     fn faults(text: &str) -> Vec<String> {
-        check(text, "f.toml", true).faults.iter().map(ToString::to_string).collect()
+        check(text, "f.toml", true).1.faults.iter().map(ToString::to_string).collect()
     }
 
     #[test]
@@ -269,7 +268,7 @@
     #[test]
     fn the_faults_of_a_text_without_sense_are_bounded() {
         let text: String = (0..10_000).map(|n| format!("k{n} = 1\n")).collect();
-        assert_eq!(check(&text, "f", true).faults.len(), FAULTS_MOST);
+        assert_eq!(check(&text, "f", true).1.faults.len(), FAULTS_MOST);
     }
 
     #[test]
--- a/crates/config/src/diff.rs
+++ b/crates/config/src/diff.rs
@@ -64,7 +64,7 @@
     use crate::layers::{resolve, Source};
 
     fn read(text: &str) -> Operator {
-        resolve(&[Source::File("f".into(), text.into())]).expect("sound").operator
+        resolve([Source::File("f".into(), text.into())]).expect("sound").operator
     }
 
     #[test]
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod explain;
 pub mod layers;
 pub mod model;
+mod node;
 pub mod schema;
 
 pub use check::Fault;
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -306,10 +306,11 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::version::Body;
     use serde_json::json;
 
     fn version(epoch: u64, number: u64, body: u64) -> Version {
-        Version::new(Stamp { epoch, number }, json!({ "n": body }))
+        Version::new(Stamp { epoch, number }, &json!({ "n": body }))
     }
 
     fn full(v: &Version) -> FromService {
@@ -435,7 +436,7 @@
     fn a_body_that_is_not_what_its_digest_says_is_turned_down() {
         let mut rig = Rig::up(None);
         let mut v = version(1, 1, 1);
-        v.body = json!({ "n": 2 });
+        v.body = Body::new(&json!({ "n": 2 }));
         assert!(refusal(&rig.came(full(&v))).is_some_and(|why| why.contains("digest")));
     }
 
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -2,7 +2,7 @@
 
 use crate::publisher::Row;
 use crate::rollout::Plan;
-use crate::version::Stamp;
+use crate::version::{Body, Stamp};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -73,7 +73,7 @@
         /// The digest of its body.
         digest: String,
         /// Its body.
-        body: Value,
+        body: Body,
     },
     /// What leads from one version to another.
     Delta {
@@ -216,7 +216,7 @@
         let stamp = Stamp { epoch: 1, number: 2 };
         let patch = json_patch::diff(&json!({"a": 1}), &json!({"b": 1}));
         vec![
-            FromService::Full { stamp, digest: "d".into(), body: json!({"a": 1}) },
+            FromService::Full { stamp, digest: "d".into(), body: Body::new(&json!({"a": 1})) },
             FromService::Delta { base: stamp, stamp, digest: "e".into(), patch },
             FromService::Current { stamp },
             FromService::Alive,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -21,4 +21,4 @@
 pub use follower::Follower;
 pub use frame::{FromProxy, FromService};
 pub use publisher::Publisher;
-pub use version::{Stamp, Version};
+pub use version::{Body, Stamp, Version};
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -153,7 +153,7 @@
     match store.find().map_err(|e| format!("{}: {e}", dir.display()))? {
         Found::Good(kept) => {
             let was = kept.version.stamp;
-            let stamp = service.publish(kept.version.body, Plan::default())?;
+            let stamp = service.publish(kept.version.body.value(), Plan::default())?;
             eprintln!("aniseyoke-control: what was version {was} is version {stamp}");
         }
         Found::Damaged { why, aside } => {
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -152,7 +152,7 @@
         plan.check().map_err(|e| e.to_string())?;
         let number = self.newest().map_or(0, |v| v.stamp.number) + 1;
         let stamp = Stamp { epoch: self.epoch, number };
-        let version = Version::new(stamp, body);
+        let version = Version::new(stamp, &body);
         let bytes = whole(&version).map_err(|e| e.to_string())?;
         if let Some(before) = self.rollout.take() {
             if before.state() == &State::Everybody {
@@ -184,7 +184,7 @@
         plan: Plan,
         out: &mut Vec<Outgoing>,
     ) -> Result<Stamp, String> {
-        let body = self.version(to).map(|v| v.body.clone());
+        let body = self.version(to).map(|v| v.body.value());
         let body = body.ok_or_else(|| format!("version {to} is not known any more"))?;
         self.publish(now, body, plan, out)
     }
--- a/crates/control/src/publisher/tests.rs
+++ b/crates/control/src/publisher/tests.rs
@@ -64,7 +64,7 @@
                     self.deliver(out);
                 }
                 Action::Apply(version) => {
-                    let bad = self.bad.is_some() && version.body["n"].as_u64() == self.bad;
+                    let bad = self.bad.is_some() && version.body.value()["n"].as_u64() == self.bad;
                     let outcome = if bad { Err(vec!["bad".to_owned()]) } else { Ok(()) };
                     let mut actions = Vec::new();
                     self.followers[n].applied(self.now, outcome, &mut actions);
@@ -110,7 +110,7 @@
     }
 
     fn running(&self) -> Vec<Option<u64>> {
-        self.followers.iter().map(|f| f.running().and_then(|v| v.body["n"].as_u64())).collect()
+        self.followers.iter().map(|f| f.running().and_then(|v| v.body.value()["n"].as_u64())).collect()
     }
 
     fn run(&self, n: u64) -> usize {
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -173,7 +173,7 @@
 
     fn kept(number: u64) -> Kept {
         let version =
-            Version::new(Stamp { epoch: 1, number }, json!({ "text": "x".repeat(300), "n": number }));
+            Version::new(Stamp { epoch: 1, number }, &json!({ "text": "x".repeat(300), "n": number }));
         Kept { version, at_ms: number }
     }
 
--- a/crates/control/src/version.rs
+++ b/crates/control/src/version.rs
@@ -1,9 +1,10 @@
 //! A version: its stamp, its digest, its body, and what leads from one to the next.
 
-use serde::{Deserialize, Serialize};
-use serde_json::{Map, Value};
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde_json::Value;
 use sha2::{Digest, Sha256};
 use std::fmt;
+use std::sync::Arc;
 
 /// When a version was made. The epoch counts how often the service began anew, from nothing or from a backup; the
 /// number counts within it. Later epochs count before earlier ones, whatever their numbers.
@@ -21,6 +22,75 @@
     }
 }
 
+/// What a version sets, as JSON in canonical form: no blanks, keys in the order of their bytes. Danger: as a tree ten
+/// thousand routes take fifteen times as much memory, and a proxy has 32 MB for everything.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Body(Arc<str>);
+
+impl Body {
+    /// The canonical form of a value.
+    pub fn new(value: &Value) -> Self {
+        let mut text = String::new();
+        write(value, &mut text);
+        Body(text.into())
+    }
+
+    /// Its text.
+    pub fn text(&self) -> &str {
+        &self.0
+    }
+
+    /// The value as a tree.
+    pub fn value(&self) -> Value {
+        // What was written from a value can be read.
+        serde_json::from_str(&self.0).unwrap_or_default()
+    }
+
+    /// Its SHA-256, in hex: alike for two bodies that say the same, in whatever order their keys stood.
+    pub fn digest(&self) -> String {
+        Sha256::digest(self.0.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+}
+
+impl Serialize for Body {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        self.value().serialize(to)
+    }
+}
+
+impl<'de> Deserialize<'de> for Body {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        Value::deserialize(from).map(|value| Body::new(&value))
+    }
+}
+
+/// Writes a value with all keys in the order of their bytes.
+fn write(value: &Value, text: &mut String) {
+    match value {
+        Value::Object(members) => {
+            let mut sorted: Vec<_> = members.iter().collect();
+            sorted.sort_by_key(|(name, _)| name.as_bytes());
+            text.push('{');
+            for (n, (name, value)) in sorted.into_iter().enumerate() {
+                text.push_str(if n == 0 { "" } else { "," });
+                text.push_str(&Value::from(name.as_str()).to_string());
+                text.push(':');
+                write(value, text);
+            }
+            text.push('}');
+        }
+        Value::Array(items) => {
+            text.push('[');
+            for (n, item) in items.iter().enumerate() {
+                text.push_str(if n == 0 { "" } else { "," });
+                write(item, text);
+            }
+            text.push(']');
+        }
+        plain => text.push_str(&plain.to_string()),
+    }
+}
+
 /// A whole version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Version {
@@ -29,7 +99,7 @@
     /// SHA-256 of its body in canonical form, in hex.
     pub digest: String,
     /// What it sets: the operator's file as JSON.
-    pub body: Value,
+    pub body: Body,
 }
 
 /// What keeps a change from being applied.
@@ -57,8 +127,9 @@
 
 impl Version {
     /// A version with its digest.
-    pub fn new(stamp: Stamp, body: Value) -> Self {
-        Version { stamp, digest: digest(&body), body }
+    pub fn new(stamp: Stamp, body: &Value) -> Self {
+        let body = Body::new(body);
+        Version { stamp, digest: body.digest(), body }
     }
 
     /// Whether the body is what the digest says.
@@ -66,7 +137,7 @@
     /// # Errors
     /// [`Broken::Digest`] if it is not.
     pub fn check(&self) -> Result<(), Broken> {
-        let found = digest(&self.body);
+        let found = self.body.digest();
         if found == self.digest {
             Ok(())
         } else {
@@ -76,7 +147,7 @@
 
     /// What leads from this version to another, as a JSON Patch (RFC 6902).
     pub fn delta(&self, to: &Version) -> json_patch::Patch {
-        json_patch::diff(&self.body, &to.body)
+        json_patch::diff(&self.body.value(), &to.body.value())
     }
 
     /// Applies what leads to another version.
@@ -84,33 +155,13 @@
     /// # Errors
     /// If it does not fit, or does not lead to what the digest says.
     pub fn apply(&self, patch: &json_patch::Patch, stamp: Stamp, told: &str) -> Result<Version, Broken> {
-        let mut body = self.body.clone();
+        let mut body = self.body.value();
         json_patch::patch(&mut body, patch).map_err(|e| Broken::Unfit(e.to_string()))?;
-        let version = Version { stamp, digest: told.to_owned(), body };
+        let version = Version { stamp, digest: told.to_owned(), body: Body::new(&body) };
         version.check().map(|()| version)
     }
 }
 
-/// The digest of a body: alike for two bodies that say the same, in whatever order their keys stand.
-pub fn digest(body: &Value) -> String {
-    let text = canonical(body).to_string();
-    Sha256::digest(text).iter().map(|byte| format!("{byte:02x}")).collect()
-}
-
-/// A value with all keys in the order of their bytes.
-fn canonical(value: &Value) -> Value {
-    match value {
-        Value::Object(members) => {
-            let mut sorted: Vec<_> = members.iter().collect();
-            sorted.sort_by_key(|(name, _)| name.as_bytes());
-            let members = sorted.into_iter().map(|(name, value)| (name.clone(), canonical(value)));
-            Value::Object(members.collect::<Map<_, _>>())
-        }
-        Value::Array(items) => Value::Array(items.iter().map(canonical).collect()),
-        plain => plain.clone(),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -129,6 +180,7 @@
     #[test]
     fn the_digest_goes_by_what_is_said() {
         let read = |text: &str| serde_json::from_str::<Value>(text).expect("JSON");
+        let digest = |value: &Value| Body::new(value).digest();
         assert_eq!(
             digest(&read(r#"{"a":1,"b":{"d":2,"c":3}}"#)),
             digest(&read(r#"{"b":{"c":3,"d":2},"a":1}"#))
@@ -138,12 +190,12 @@
 
     #[test]
     fn a_change_to_another_version_than_meant_is_turned_down() {
-        let (one, two) = (Version::new(ONE, json!({"a": [1, 2]})), Version::new(TWO, json!({"a": [1, 3]})));
+        let (one, two) = (Version::new(ONE, &json!({"a": [1, 2]})), Version::new(TWO, &json!({"a": [1, 3]})));
         let delta = one.delta(&two);
         assert_eq!(one.apply(&delta, TWO, &two.digest), Ok(two.clone()));
-        let other = Version::new(ONE, json!({"a": [7, 2]}));
+        let other = Version::new(ONE, &json!({"a": [7, 2]}));
         assert!(matches!(other.apply(&delta, TWO, &two.digest), Err(Broken::Digest { .. })));
-        let none = Version::new(ONE, json!({}));
+        let none = Version::new(ONE, &json!({}));
         assert!(matches!(none.apply(&delta, TWO, &two.digest), Err(Broken::Unfit(_))));
     }
 
@@ -164,9 +216,17 @@
     }
 
     proptest! {
+        #[test]
+        fn the_canonical_form_says_the_same(value in value()) {
+            let body = Body::new(&value);
+            prop_assert_eq!(body.value(), value.clone());
+            let sent = serde_json::to_string(&body).expect("JSON");
+            prop_assert_eq!(serde_json::from_str::<Body>(&sent).expect("read"), body);
+        }
+
         #[test]
         fn a_delta_leads_where_the_whole_does(from in value(), to in value()) {
-            let (from, to) = (Version::new(ONE, from), Version::new(TWO, to));
+            let (from, to) = (Version::new(ONE, &from), Version::new(TWO, &to));
             let sent = serde_json::to_string(&from.delta(&to)).expect("JSON");
             let delta = serde_json::from_str(&sent).expect("read");
             prop_assert_eq!(from.apply(&delta, TWO, &to.digest), Ok(to));
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -20,6 +20,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+/// Enough for a version of ten thousand routes.
+const MEMORY_MB: usize = 128;
 /// All proxies have a version within this time, or the measurement fails.
 const WITHIN: Duration = Duration::from_secs(60);
 /// Who runs what is looked at as often.
@@ -210,6 +212,7 @@
 pub fn measure(size: Size, program: &std::path::Path) -> Result<Measured, String> {
     let mut day = Day::open("quiet").map_err(|e| e.to_string())?;
     day.site.proxy.count = size.proxies;
+    day.site.proxy.memory_mb = MEMORY_MB;
     let clock = Clock::start();
     let site = Site::open(&day, clock, move || Recorder::nowhere(clock)).map_err(|e| format!("site: {e}"))?;
     let service = Hosted::start(1).map_err(|e| format!("service: {e}"))?;
--- a/crates/lab/tests/versions.rs
+++ b/crates/lab/tests/versions.rs
@@ -34,11 +34,11 @@
             return;
         }
         let body: Value = if n % 5 == 0 { json!({}) } else { limits(n) };
-        let good = Version::new(stamp(3 * n), body);
+        let good = Version::new(stamp(3 * n), &body);
         let frame = match n % 4 {
-            0 => full(&Version::new(stamp(3 * n), json!({ "log": { "burst": 0 } }))),
+            0 => full(&Version::new(stamp(3 * n), &json!({ "log": { "burst": 0 } }))),
             1 => FromService::Full { stamp: good.stamp, digest: "0".repeat(64), body: good.body.clone() },
-            2 => full(&Version::new(stamp(3 * n / 2), limits(n))),
+            2 => full(&Version::new(stamp(3 * n / 2), &limits(n))),
             _ => full(&good),
         };
         let bytes = encode(&frame).expect("short");
@@ -106,7 +106,7 @@
         running: None,
     };
     publisher.frame(0, 1, hello, &mut out);
-    let version = Version::new(Stamp { epoch: 1, number: 1 }, json!({}));
+    let version = Version::new(Stamp { epoch: 1, number: 1 }, &json!({}));
     let frame = FromService::Full { stamp: version.stamp, digest: version.digest, body: version.body };
     assert_eq!(out[0].bytes.to_vec(), encode(&frame).expect("short"));
 }
--- a/crates/proxy/src/cli/configuration.rs
+++ b/crates/proxy/src/cli/configuration.rs
@@ -69,7 +69,7 @@
 
 /// What a file says without any environment.
 fn alone(file: &Path) -> Result<Resolved, Vec<Fault>> {
-    resolve(&[source(file).map_err(|fault| vec![fault])?])
+    resolve([source(file).map_err(|fault| vec![fault])?])
 }
 
 fn check(files: &[PathBuf]) -> Result<String, Vec<String>> {
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -68,6 +68,8 @@
 pub struct Beyond {
     /// What the core is to work by.
     pub plan: Arc<Plan>,
+    /// Memory that is no connection's beside what every proxy keeps, in bytes.
+    pub reserve: usize,
     /// What a call for the version is told; it changes with versions from a control service.
     pub about: Rc<RefCell<serde_json::Value>>,
     /// Called once the core runs, with the address where clients are taken.
@@ -99,7 +101,7 @@
     let living = Peers::join(dir.clone());
     let (door, door_memory) = config.mgmt.map_or((0, 0), |_| (admin::DESCRIPTORS, admin::MEMORY));
     let own = OWN_DESCRIPTORS + door;
-    let memory = config.memory.saturating_sub(OWN_MEMORY + door_memory);
+    let memory = config.memory.saturating_sub(OWN_MEMORY + door_memory + beyond.reserve);
     let places = Places { sockets: config.sockets, own, memory };
     let others = living.others();
     let descriptors = Descriptors::new(places.part(&others));
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -18,7 +18,7 @@
         layers.push(source(file).map_err(|fault| vec![fault])?);
     }
     layers.extend(environment(variables()));
-    resolve(&layers)
+    resolve(layers)
 }
 
 /// The environment, as far as it is text; what is none sets none of our keys.
@@ -90,7 +90,7 @@
         let shipped = include_str!("../../../deploy/operator.toml");
         let read = |text: &str| {
             let layers = [Source::File("operator.toml".into(), text.to_owned())];
-            resolve(&layers).expect("sound").operator
+            resolve(layers).expect("sound").operator
         };
         assert_eq!(read(shipped), Operator::default());
         let on: String =
--- a/crates/proxy/src/plan.rs
+++ b/crates/proxy/src/plan.rs
@@ -161,7 +161,7 @@
 
     fn planned(text: &str) -> Result<Plan, Vec<Fault>> {
         let platform = Config::parse(PLATFORM, |_| None).expect("sound");
-        let resolved = resolve(&[Source::File("f.toml".into(), text.into())]).expect("sound by itself");
+        let resolved = resolve([Source::File("f.toml".into(), text.into())]).expect("sound by itself");
         plan(&resolved, &platform)
     }
 
@@ -201,7 +201,7 @@
             "\"caps\": {\"attempts_cap\": 4, \"cancelling\": true, \"second_copies\": false}, \"localities\"";
         let platform = Config::parse(&PLATFORM.replace("\"localities\"", caps), |_| None).expect("sound");
         let caps = |text: &str| {
-            let resolved = resolve(&[Source::File("f.toml".into(), text.into())]).expect("sound by itself");
+            let resolved = resolve([Source::File("f.toml".into(), text.into())]).expect("sound by itself");
             let s = plan(&resolved, &platform).expect("sound").settings;
             (s.max_attempts, s.cancel, s.second_copies)
         };
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::config::Config;
 use crate::front::Beyond;
-use crate::versions::{last_good, Below, InForce, Serving, Subscription};
+use crate::versions::{last_good, reserve, Below, InForce, Serving, Subscription};
 use crate::{front, operator};
 use aniseyoke_config::layers::Resolved;
 use aniseyoke_config::Fault;
@@ -64,10 +64,11 @@
     let (each_second, again, swapped) = (log.clone(), log.clone(), log);
     let about = Rc::new(RefCell::new(about(&resolved, file.as_deref(), last.as_deref())));
     let platform = below.clone();
-    let in_force = Rc::new(RefCell::new(InForce { resolved, version: last.clone() }));
+    let in_force = Rc::new(RefCell::new(InForce { operator: resolved.operator, version: last.clone() }));
     let (rereads, told_about) = (in_force.clone(), about.clone());
     let beyond = Beyond {
         plan: Arc::new(plan),
+        reserve: control.as_ref().map_or(0, |_| reserve(config.memory)),
         about,
         started: Box::new(move |engine, at| {
             let Some(control) = control else { return Ok(()) };
@@ -104,7 +105,7 @@
     match now {
         Ok((now, _)) => {
             log.set_levels(&operator::log_levels(&now.operator.log));
-            let waiting = operator::waiting(&in_force.resolved.operator, &now.operator);
+            let waiting = operator::waiting(&in_force.operator, &now.operator);
             if !waiting.is_empty() {
                 tracing::warn!("these changes wait for a restart: {}", waiting.join(", "));
             }
--- a/crates/proxy/src/versions/below.rs
+++ b/crates/proxy/src/versions/below.rs
@@ -5,7 +5,7 @@
 use crate::operator;
 use crate::plan::plan;
 use aniseyoke_config::layers::{environment, resolve, Resolved, Source};
-use aniseyoke_config::model::Control;
+use aniseyoke_config::model::{Control, Operator};
 use aniseyoke_config::Fault;
 use aniseyoke_control::store::{Disk, Found, Kept, Store};
 use aniseyoke_control::Version;
@@ -30,13 +30,9 @@
         let mut layers: Vec<Source> = self.file.clone().into_iter().collect();
         layers.extend(environment(operator::variables()));
         if let Some(version) = version {
-            let unreadable = |why: String| {
-                vec![Fault { place: format!("version {}", version.stamp), key: String::new(), why }]
-            };
-            let text = toml::to_string(&version.body).map_err(|e| unreadable(e.to_string()))?;
-            layers.push(Source::Service(version.stamp.number, text));
+            layers.push(Source::Service(version.stamp.number, version.body.value()));
         }
-        let resolved = resolve(&layers)?;
+        let resolved = resolve(layers)?;
         let plan = plan(&resolved, &self.platform)?;
         Ok((resolved, plan))
     }
@@ -77,10 +73,10 @@
     }
 }
 
-/// What is in force: the layers as they came to be, and the version on top of them.
+/// What is in force: what the operators say in all, and the version on top of the layers.
 pub struct InForce {
     /// What the layers came to.
-    pub resolved: Resolved,
+    pub operator: Operator,
     /// The version on top, if there is one.
     pub version: Option<Arc<Version>>,
 }
--- a/crates/proxy/src/versions/follow.rs
+++ b/crates/proxy/src/versions/follow.rs
@@ -2,7 +2,7 @@
 //! keeps it on disk.
 
 use super::serving::{Order, Ready};
-use super::{Below, InForce, KEPT};
+use super::{frame_most, Below, InForce, KEPT};
 use crate::config::Names;
 use crate::operator::log_levels;
 use aniseyoke_config::model::Control;
@@ -19,9 +19,6 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 
-/// A frame may take this part of a proxy's memory: it is there as bytes, as JSON, as text and as what came before.
-const MEMORY_PART: usize = 16;
-
 /// What versions are checked against and kept by.
 pub struct Subscription {
     below: Arc<Below>,
@@ -48,11 +45,12 @@
         at: SocketAddr,
         running: Option<Arc<Version>>,
     ) -> std::io::Result<()> {
-        let frame_most = (self.below.platform.memory / MEMORY_PART).min(aniseyoke_control::frame::FRAME_MOST);
+        let frame_most = frame_most(self.below.platform.memory);
         let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64);
         let instance = control.instance.unwrap_or_else(|| at.to_string());
         let identity = Identity { instance, boot, labels: control.labels, frame_most };
-        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().max_blocking_threads(1).build()?;
         let follows = move || {
             let running = running.map(Arc::unwrap_or_clone);
             let follower = Follower::new(identity, control.services.len(), running, Times::default(), boot);
@@ -85,7 +83,7 @@
     }
     let levels = log_levels(&resolved.operator.log);
     let names = (resolved.digest(), version.stamp.to_string());
-    let in_force = InForce { resolved, version: Some(Arc::new(version)) };
+    let in_force = InForce { operator: resolved.operator, version: Some(Arc::new(version)) };
     Ok(Ready { plan: Arc::new(plan), levels, in_force, names })
 }
 
--- a/crates/proxy/tests/versions.rs
+++ b/crates/proxy/tests/versions.rs
@@ -169,7 +169,7 @@
 #[test]
 fn a_damaged_version_on_disk_is_put_aside_and_a_service_with_a_later_epoch_is_followed() {
     let site = Site::new();
-    let kept = Kept { version: Version::new(Stamp { epoch: 1, number: 900 }, json!({})), at_ms: 1 };
+    let kept = Kept { version: Version::new(Stamp { epoch: 1, number: 900 }, &json!({})), at_ms: 1 };
     Store::new(Disk, site.kept()).keep(&kept).expect("kept");
     let mut bytes = std::fs::read(site.kept()).expect("there");
     bytes[100] ^= 1;
