Read and write the memcached binary protocol, fuzzed and tried against libraries of others

Need: hub scanner tools speak the binary protocol and bypass the proxy; a front and a node side need a codec that can be fed in parts and never believes a length.

Change: crates/memcached without I/O: decoder (heads, pieces of values, ends; lengths checked before anything is kept), encoder, the order of a connection's answers with bounds on what waits, SASL PLAIN, and what each status says of whether a request ran. The laboratory gains a keeper, a server's behaviour behind a socket, to try libraries against.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,5 +1,6 @@
 //! What can be asked of the laboratory.
 
+mod keeper;
 mod versions;
 
 use aniseyoke_lab::audit::Recorder;
@@ -36,6 +37,8 @@
     Sweep(Sweep),
     /// Publish versions of the configuration to a fleet of real proxies, and measure what they take.
     Versions(versions::Versions),
+    /// Serve as a memcached server of the binary protocol until Ctrl-C, for client libraries of others.
+    Keeper(keeper::Keep),
     /// Open a site and keep it until Ctrl-C; a configuration for each proxy is written.
     Site(Stand),
     /// Send a day's load to proxies, or to anything that speaks the platform's protocol.
@@ -175,6 +178,7 @@
         Command::Try(args) => try_day(&args),
         Command::Compare(args) => compare(&args),
         Command::Sweep(args) => sweep(&args),
+        Command::Keeper(args) => keeper::run(&args),
         Command::Versions(args) => versions::run(&args),
         Command::Site(args) => stand(&args),
         Command::Load(args) => send(&args),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`audit`]: what clients sent and got and what nodes received, held against the rules.
 //! - [`trial`]: one day from start to end: site, subjects, load, audit, report.
 //! - [`fleet`]: many real proxies behind one control service.
+//! - [`keeper`]: what a memcached server does with its values.
 //! - [`floor`]: a bare pass-through, the least that any proxy costs.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -16,6 +17,7 @@
 pub mod day;
 pub mod fleet;
 pub mod floor;
+pub mod keeper;
 pub mod load;
 pub mod site;
 pub mod trial;
--- /dev/null
+++ b/crates/lab/tests/clients.rs
@@ -0,0 +1,115 @@
+//! A client library of others against the keeper: what it writes is read, and what is answered it understands.
+
+use aniseyoke_lab::keeper::{Keeper, Server};
+use std::collections::{BTreeMap, HashMap};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::num::NonZeroUsize;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+const VALUE_MOST: usize = 1 << 20;
+
+/// A server on a thread of its own, which ends with the test.
+fn server(users: &[(&str, &str)]) -> SocketAddr {
+    let users: BTreeMap<String, String> =
+        users.iter().map(|(name, password)| ((*name).to_owned(), (*password).to_owned())).collect();
+    let (tell, told) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        tokio::task::LocalSet::new().block_on(&runtime, async move {
+            let keeper = Keeper::new(NonZeroUsize::new(1000).expect("not 0"), VALUE_MOST);
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+            tell.send(listener.local_addr().expect("an address")).expect("awaited");
+            Server::new(keeper, VALUE_MOST, users).serve(listener).await
+        });
+    });
+    told.recv().expect("started")
+}
+
+fn client(addr: SocketAddr, user: &str) -> memcache::Client {
+    let at = if user.is_empty() { String::new() } else { format!("{user}@") };
+    memcache::connect(format!("memcache://{at}{addr}?timeout=10&protocol=binary")).expect("connected")
+}
+
+#[test]
+fn another_s_library_stores_reads_counts_and_deletes() {
+    let client = client(server(&[]), "");
+    client.set("k", "value", 0).expect("stored");
+    assert_eq!(client.get::<String>("k").expect("read"), Some("value".into()));
+    assert_eq!(client.get::<String>("none").expect("read"), None);
+    client.append("k", "!").expect("appended");
+    client.prepend("k", "a ").expect("prepended");
+    assert_eq!(client.get::<String>("k").expect("read"), Some("a value!".into()));
+    assert!(client.add("k", "other", 0).is_err(), "it exists");
+    assert!(client.replace("none", "other", 0).is_err(), "there is none");
+    client.set("n", 40, 0).expect("stored");
+    assert_eq!(client.increment("n", 3).expect("counted"), 43);
+    assert_eq!(client.decrement("n", 50).expect("counted"), 0);
+    assert!(client.touch("n", 1000).expect("touched") && !client.touch("none", 1).expect("touched"));
+    assert!(client.delete("n").expect("deleted") && !client.delete("n").expect("deleted"));
+    let large = vec![7u8; 300_000];
+    client.set("large", &large[..], 0).expect("stored");
+    assert_eq!(client.get::<Vec<u8>>("large").expect("read"), Some(large));
+    assert!(!client.version().expect("told")[0].1.is_empty());
+    assert!(client.stats().expect("told")[0].1.contains_key("cmd_ran"));
+}
+
+/// The library asks with quiet gets and a NOOP behind them: misses stay unanswered.
+#[test]
+fn another_s_library_reads_many_keys_in_one_go_and_stores_by_version() {
+    let client = client(server(&[]), "");
+    (0..50).for_each(|n| client.set(&format!("k{n}"), n, 0).expect("stored"));
+    let names: Vec<String> = (0..100).map(|n| format!("k{n}")).collect();
+    let asked: Vec<&str> = names.iter().map(String::as_str).collect();
+    let found: HashMap<String, u32> = client.gets(&asked).expect("read");
+    assert_eq!(found.len(), 50);
+    assert!(found.iter().all(|(key, n)| *key == format!("k{n}")));
+    let found: HashMap<String, (Vec<u8>, u32, Option<u64>)> = client.gets(&["k1"]).expect("read");
+    let version = found["k1"].2.expect("a version");
+    assert!(client.cas("k1", "new", 0, version).expect("stored"));
+    assert!(!client.cas("k1", "newer", 0, version).expect("turned down"), "it is another version now");
+}
+
+#[test]
+fn who_does_not_show_who_they_are_gets_nothing() {
+    let addr = server(&[("acme", "secret")]);
+    let right = client(addr, "acme:secret");
+    right.set("k", "v", 0).expect("stored");
+    assert_eq!(right.get::<String>("k").expect("read"), Some("v".into()));
+    // The library tries again for as long as it may connect, so that little time is given to it.
+    let wrong = memcache::Client::builder()
+        .with_connection_timeout(Duration::from_millis(200))
+        .add_server(format!("memcache://acme:guess@{addr}?timeout=10&protocol=binary"))
+        .and_then(memcache::ClientBuilder::build);
+    assert!(wrong.is_err() || wrong.is_ok_and(|c| c.get::<String>("k").is_err()));
+    assert!(client(addr, "").get::<String>("k").is_err());
+}
+
+/// What a client hears that writes these bytes, until its connection ends.
+fn heard(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(addr).expect("connected");
+    stream.set_read_timeout(Some(Duration::from_secs(30))).expect("a time-out");
+    stream.write_all(bytes).expect("written");
+    let mut heard = Vec::new();
+    stream.read_to_end(&mut heard).expect("until its end");
+    heard
+}
+
+#[test]
+fn the_text_protocol_and_lengths_that_lie_get_one_word_and_the_end() {
+    let addr = server(&[]);
+    let told = String::from_utf8(heard(addr, b"get k\r\n")).expect("a text");
+    assert!(told.starts_with("ERROR ") && told.ends_with("\r\n") && told.contains("binary"), "{told:?}");
+    let mut lying = vec![0x80, 0x01, 0, 9, 8, 0, 0, 0, 0, 0, 0, 4];
+    lying.extend([0; 12]);
+    assert_eq!(heard(addr, &lying)[6..8], [0, 4], "invalid");
+    let mut huge = vec![0x80, 0x01, 0, 3, 8, 0, 0, 0, 0xff, 0xff, 0xff, 0xff, 0, 0, 0, 5];
+    huge.extend([0; 8]);
+    let told = heard(addr, &huge);
+    assert_eq!(
+        (&told[6..8], &told[12..16]),
+        (&[0, 3][..], &[0, 0, 0, 5][..]),
+        "too large, with the client's mark"
+    );
+}
--- /dev/null
+++ b/crates/memcached/benches/codec.rs
@@ -0,0 +1,56 @@
+//! How fast packets are taken apart and put together.
+
+use aniseyoke_memcached::{encode, Decoder, Extras, Head, Limits, Opcode, Part, Side};
+use bytes::{Bytes, BytesMut};
+use criterion::{criterion_group, criterion_main, Criterion, Throughput};
+use std::hint::black_box;
+
+/// Packets in one go, as a pipeline brings them.
+const PACKETS: u64 = 64;
+
+fn request(opcode: Opcode, extras: Extras) -> Head {
+    Head { extras, key: Bytes::from_static(b"parcel/7f3a9c21e0b4d655"), ..Head::request(opcode) }
+}
+
+fn codec(c: &mut Criterion) {
+    for (name, length) in [("get", 0usize), ("set 100 B", 100), ("set 16 KiB", 16 << 10)] {
+        let head = match length {
+            0 => request(Opcode::Get, Extras::None),
+            _ => request(Opcode::Set, Extras::Store { flags: 0, expires: 0 }),
+        };
+        let value = vec![b'v'; length];
+        let mut bytes = BytesMut::new();
+        for _ in 0..PACKETS {
+            encode::packet(Side::Request, &head, &value, &mut bytes).expect("fits");
+        }
+        let mut group = c.benchmark_group(name);
+        group.throughput(Throughput::Elements(PACKETS));
+        group.bench_function("decode", |b| {
+            b.iter_batched(
+                || bytes.clone(),
+                |mut came| {
+                    let mut decoder = Decoder::new(Side::Request, Limits::default());
+                    let mut ends = 0;
+                    while let Some(part) = decoder.next(&mut came).expect("sound") {
+                        ends += u64::from(matches!(black_box(part), Part::End));
+                    }
+                    assert_eq!(ends, PACKETS);
+                },
+                criterion::BatchSize::SmallInput,
+            );
+        });
+        group.bench_function("encode", |b| {
+            let mut out = BytesMut::with_capacity(bytes.len());
+            b.iter(|| {
+                out.clear();
+                for _ in 0..PACKETS {
+                    encode::packet(Side::Request, black_box(&head), &value, &mut out).expect("fits");
+                }
+            });
+        });
+        group.finish();
+    }
+}
+
+criterion_group!(benches, codec);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/memcached/src/status.rs
@@ -0,0 +1,101 @@
+//! What an answer says became of its request.
+
+/// A status, by its number on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[repr(u16)]
+pub enum Status {
+    /// Done.
+    Ok = 0x0000,
+    /// There is no such key.
+    NotFound = 0x0001,
+    /// The key exists, or its version is another than the one given.
+    Exists = 0x0002,
+    /// The value is too large.
+    TooLarge = 0x0003,
+    /// The request contradicts itself.
+    Invalid = 0x0004,
+    /// A condition for storing did not hold.
+    NotStored = 0x0005,
+    /// The value is no number.
+    NotNumber = 0x0006,
+    /// The key belongs to another server.
+    WrongBucket = 0x0007,
+    /// The connection has not shown who it is, or not rightly.
+    AuthError = 0x0020,
+    /// More steps are needed to show who it is.
+    AuthContinue = 0x0021,
+    /// There is no such operation.
+    Unknown = 0x0081,
+    /// The server is out of memory.
+    NoMemory = 0x0082,
+    /// The operation is not supported here.
+    NotSupported = 0x0083,
+    /// The server failed.
+    Internal = 0x0084,
+    /// The server is busy.
+    Busy = 0x0085,
+    /// It failed for the moment.
+    Temporary = 0x0086,
+}
+
+/// All statuses, in the order of their numbers.
+pub const ALL: [Status; 16] = [
+    Status::Ok,
+    Status::NotFound,
+    Status::Exists,
+    Status::TooLarge,
+    Status::Invalid,
+    Status::NotStored,
+    Status::NotNumber,
+    Status::WrongBucket,
+    Status::AuthError,
+    Status::AuthContinue,
+    Status::Unknown,
+    Status::NoMemory,
+    Status::NotSupported,
+    Status::Internal,
+    Status::Busy,
+    Status::Temporary,
+];
+
+impl Status {
+    /// The status of a number; none that is known has it otherwise.
+    pub fn from_number(number: u16) -> Option<Self> {
+        ALL.binary_search_by_key(&number, |s| *s as u16).ok().map(|n| ALL[n])
+    }
+
+    /// The text that servers put into the value of an answer with it.
+    pub fn text(self) -> &'static str {
+        match self {
+            Status::Ok => "",
+            Status::NotFound => "Not found",
+            Status::Exists => "Data exists for key.",
+            Status::TooLarge => "Too large.",
+            Status::Invalid => "Invalid arguments",
+            Status::NotStored => "Not stored.",
+            Status::NotNumber => "Non-numeric server-side value for incr or decr",
+            Status::WrongBucket => "Not my vbucket",
+            Status::AuthError => "Auth failure.",
+            Status::AuthContinue => "Auth continue.",
+            Status::Unknown => "Unknown command",
+            Status::NoMemory => "Out of memory",
+            Status::NotSupported => "Not supported",
+            Status::Internal => "Internal error",
+            Status::Busy => "Busy",
+            Status::Temporary => "Temporary failure",
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn each_number_is_found_again_and_others_are_none() {
+        for number in 0..=u16::MAX {
+            let known = ALL.iter().copied().find(|s| *s as u16 == number);
+            assert_eq!(Status::from_number(number), known);
+        }
+    }
+}
