--- a/crates/memcached/src/decode.rs
+++ b/crates/memcached/src/decode.rs
@@ -164,7 +164,7 @@
 
     /// Whether a packet has begun and not ended.
     pub fn within(&self) -> bool {
-        !matches!(self.state, State::Head)
+        matches!(self.state, State::Value(_) | State::Skip(_))
     }
 
     /// The next part, taken from the front of what has come; none: more has to come first. A buffer with room for
