Keep the last good version on a thread of its own, the newest alone waiting for the disk

Need: with one worker for reading, a disk that hangs while a version is written would keep every later version from being read; before that, writers could queue without bound.

Change: versions/keeping.rs is the one writer; a version that comes while it writes replaces the one that waited. The lock between writers is gone with the second writer.

--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -73,10 +73,12 @@
         started: Box::new(move |engine, at| {
             let Some(control) = control else { return Ok(()) };
             let (orders, ordered) = mpsc::channel(1);
-            let subscription = Subscription::new(&control, below, orders, engine.tally());
+            let no_thread = |e: std::io::Error| format!("no thread for versions: {e}");
+            let subscription =
+                Subscription::new(&control, below, orders, engine.tally()).map_err(no_thread)?;
             let serving = Serving { engine, in_force, log: swapped, about: told_about };
             tokio::task::spawn_local(serving.run(ordered));
-            subscription.start(control, at, last).map_err(|e| format!("no thread for versions: {e}"))
+            subscription.start(control, at, last).map_err(no_thread)
         }),
         each_second: Box::new(move || each_second.tell_left_out()),
         reread: Box::new(move || reread(&platform.platform, &rereads.borrow(), file.as_deref(), &again)),
--- a/crates/proxy/src/versions/follow.rs
+++ b/crates/proxy/src/versions/follow.rs
@@ -1,6 +1,7 @@
 //! The thread that follows control services: it reads each version, checks it against what runs, has it put in force and
 //! keeps it on disk.
 
+use super::keeping::Keeping;
 use super::serving::{Order, Ready};
 use super::{frame_most, Below, InForce, KEPT};
 use crate::config::Names;
@@ -15,7 +16,7 @@
 use aniseyoke_decision::api::Entry;
 use aniseyoke_routes::review::{review, Harm, Side};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 
@@ -24,15 +25,35 @@
     below: Arc<Below>,
     orders: mpsc::Sender<Order>,
     tally: Arc<Tally>,
-    /// One writer at a time. Danger: two that write beside the same file would tear each other's.
-    store: Option<Arc<Mutex<Store<Disk>>>>,
+    /// The one writer of the last good version, where there is a folder for it.
+    keeping: Option<Keeping>,
 }
 
 impl Subscription {
     /// What versions are laid over, where they are put in force, and what counts requests.
-    pub fn new(control: &Control, below: Arc<Below>, orders: mpsc::Sender<Order>, tally: Arc<Tally>) -> Self {
-        let store = control.dir.as_ref().map(|dir| Arc::new(Mutex::new(Store::new(Disk, dir.join(KEPT)))));
-        Subscription { below, orders, tally, store }
+    ///
+    /// # Errors
+    /// If there is no thread to be had.
+    pub fn new(
+        control: &Control,
+        below: Arc<Below>,
+        orders: mpsc::Sender<Order>,
+        tally: Arc<Tally>,
+    ) -> std::io::Result<Self> {
+        let keeping = control.dir.as_ref().map(|dir| {
+            let mut store = Store::new(Disk, dir.join(KEPT));
+            Keeping::start(move |kept| {
+                let stamp = kept.version.stamp;
+                // Another process of this proxy may have kept a later one.
+                if matches!(store.find(), Ok(Found::Good(before)) if before.version.stamp > stamp) {
+                    return;
+                }
+                if let Err(e) = store.keep(&kept) {
+                    tracing::error!("version {stamp} could not be kept on disk: {e}");
+                }
+            })
+        });
+        Ok(Subscription { below, orders, tally, keeping: keeping.transpose()? })
     }
 
     /// Follows the services on a thread of its own, as long as the process lives. `running` is in force already.
@@ -115,20 +136,8 @@
     }
 
     fn keep(&self, version: Version) {
-        let Some(store) = self.store.clone() else { return };
-        // The disk may take its time; frames are read meanwhile.
-        tokio::task::spawn_blocking(move || {
-            let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-            let stamp = version.stamp;
-            let mut store = store.lock().unwrap_or_else(PoisonError::into_inner);
-            // A later version may have come to its turn before this one.
-            if matches!(store.find(), Ok(Found::Good(kept)) if kept.version.stamp > stamp) {
-                return;
-            }
-            if let Err(e) = store.keep(&Kept { version, at_ms }) {
-                tracing::error!("version {stamp} could not be kept on disk: {e}");
-            }
-        });
+        let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        self.keeping.iter().for_each(|k| k.keep(Kept { version: version.clone(), at_ms }));
     }
 
     fn say(&self, what: &str) {
--- a/crates/proxy/src/versions/mod.rs
+++ b/crates/proxy/src/versions/mod.rs
@@ -4,6 +4,7 @@
 
 mod below;
 mod follow;
+mod keeping;
 mod serving;
 
 pub use below::{last_good, Below, InForce};
