--- a/crates/control/src/hosted.rs
+++ b/crates/control/src/hosted.rs
@@ -28,6 +28,7 @@
 pub struct Hosted {
     /// Where proxies connect.
     pub addr: SocketAddr,
+    /// Each caller waits for its answer, so that there are no more orders than callers.
     orders: mpsc::UnboundedSender<Order>,
 }
 
--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -1147,20 +1147,22 @@
     Settings { pools: pools.iter().map(pool).collect(), ..settings() }
 }
 
+/// The server that answers a request routed to a pool.
+fn served_in(p: &mut Proxy, pool: Option<u32>, key: u64) -> ServerId {
+    let request = Request { key: Some(key), pool, remaining: 800 * MS, ..Request::default() };
+    let (id, actions) = p.ask_as(request);
+    let server = sent(&actions).expect("sent");
+    p.end(id, 0, server, Status::Ok, Some(true));
+    server
+}
+
 #[test]
 fn a_routed_request_goes_to_its_pool_and_learns_there_alone() {
     let zone = |server: ServerId| entries(0..9).iter().find(|e| e.server == server).map(|e| e.zone);
     let mut p = Proxy::with(routed(&[Some(0), Some(1)]), entries(0..9));
-    let to = |p: &mut Proxy, pool: Option<u32>, key: u64| {
-        let request = Request { key: Some(key), pool, remaining: 800 * MS, ..Request::default() };
-        let (id, actions) = p.ask_as(request);
-        let server = sent(&actions).expect("sent");
-        p.end(id, 0, server, Status::Ok, Some(true));
-        server
-    };
     let keys: Vec<u64> = (0..60).map(|n| n * 0x9e37_79b9).collect();
     let mut pass = || -> Vec<[ServerId; 3]> {
-        keys.iter().map(|key| [Some(0), Some(1), None].map(|pool| to(&mut p, pool, *key))).collect()
+        keys.iter().map(|key| [Some(0), Some(1), None].map(|pool| served_in(&mut p, pool, *key))).collect()
     };
     // At first each key is much of all that came, and spread.
     (0..3).for_each(|_| drop(pass()));
@@ -1173,18 +1175,13 @@
 /// Danger: a version that adds a pool would have every key of the others find a new home, and miss.
 #[test]
 fn a_pool_that_is_added_moves_no_key_of_another_pool_and_few_of_the_rest() {
-    let first = |p: &mut Proxy, pool: Option<u32>, key: u64| {
-        let request = Request { key: Some(key), pool, remaining: 800 * MS, ..Request::default() };
-        let (id, actions) = p.ask_as(request);
-        let server = sent(&actions).expect("sent");
-        p.end(id, 0, server, Status::Ok, Some(true));
-        server
-    };
     let mut p = Proxy::with(routed(&[Some(0)]), entries(0..21));
     let keys: Vec<u64> = (0..200).map(|n| n * 0x9e37_79b9).collect();
-    let homes: Vec<_> = keys.iter().map(|k| (first(&mut p, Some(0), *k), first(&mut p, None, *k))).collect();
+    let homes: Vec<_> =
+        keys.iter().map(|k| (served_in(&mut p, Some(0), *k), served_in(&mut p, None, *k))).collect();
     assert!(p.balancer.retune(routed(&[Some(0), Some(1)])));
-    let after: Vec<_> = keys.iter().map(|k| (first(&mut p, Some(0), *k), first(&mut p, None, *k))).collect();
+    let after: Vec<_> =
+        keys.iter().map(|k| (served_in(&mut p, Some(0), *k), served_in(&mut p, None, *k))).collect();
     assert!(homes.iter().zip(&after).all(|(a, b)| a.0 == b.0), "the other pool's keys stay");
     // Zone 1 bears a pool now, so that fewer other keys are at home there.
     let moved = homes.iter().zip(&after).filter(|(a, b)| a.1 != b.1).count();
--- a/crates/memcached/src/decode.rs
+++ b/crates/memcached/src/decode.rs
@@ -141,7 +141,7 @@
 
     /// What keeps a request from being carried out.
     fn bad(&self, limits: Limits, value: usize) -> Option<Bad> {
-        let Some(opcode) = Opcode::from_byte(self.opcode) else { return Some(Bad::Unknown) };
+        let Some(opcode) = Opcode::from_repr(self.opcode) else { return Some(Bad::Unknown) };
         if self.data_type != 0 {
             Some(Bad::Shape("the data type is not 0"))
         } else if !opcode.extras().contains(&self.extras) {
@@ -235,7 +235,7 @@
         let mut whole = came.split_to(HEAD + ahead).freeze();
         let key = whole.split_off(HEAD + fixed.extras);
         let extras = match self.side {
-            Side::Request => Opcode::from_byte(opcode).map(|o| Extras::of_request(o, &whole[HEAD..])),
+            Side::Request => Opcode::from_repr(opcode).map(|o| Extras::of_request(o, &whole[HEAD..])),
             Side::Answer => Some(Extras::of_answer(&whole[HEAD..])),
         };
         self.state = State::Value(value);
--- a/crates/memcached/src/head.rs
+++ b/crates/memcached/src/head.rs
@@ -71,12 +71,12 @@
 
     /// The operation, if it is known.
     pub fn operation(&self) -> Option<Opcode> {
-        Opcode::from_byte(self.opcode)
+        Opcode::from_repr(self.opcode)
     }
 
     /// The status of an answer, if it is known.
     pub fn status(&self) -> Option<Status> {
-        Status::from_number(self.field)
+        Status::from_repr(self.field)
     }
 
     /// The length of all that follows the fixed part, in bytes.
--- a/crates/memcached/src/meaning.rs
+++ b/crates/memcached/src/meaning.rs
@@ -104,28 +104,30 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::{opcode, status};
+    use crate::opcode;
+    use strum::VariantArray;
 
     /// Danger: a counter in a class that is repeated at will counts twice after one lost answer.
     #[test]
     fn what_doubles_or_misleads_is_carried_by_no_class_that_is_repeated_at_will() {
-        let carried: Vec<Opcode> = opcode::ALL
-            .into_iter()
+        let carried: Vec<Opcode> = Opcode::VARIANTS
+            .iter()
+            .copied()
             .filter(|o| {
                 !o.quiet() && may_carry(Effect::Safe, repeat(*o, 0)) && o.key() == opcode::Presence::Must
             })
             .collect();
         use Opcode::*;
         assert_eq!(carried, [Get, Set, Replace, GetK, Touch, Gat, SaslAuth, SaslStep, GatK]);
-        assert!(opcode::ALL.into_iter().all(|o| may_carry(Effect::Unsafe, repeat(o, 9))));
+        assert!(Opcode::VARIANTS.iter().copied().all(|o| may_carry(Effect::Unsafe, repeat(o, 9))));
         assert!(!may_carry(Effect::Safe, repeat(SetQ, 1)), "it is bound to a version");
-        assert!(opcode::ALL.into_iter().all(|o| repeat(o, 0) == repeat(o.loud(), 0)));
+        assert!(Opcode::VARIANTS.iter().copied().all(|o| repeat(o, 0) == repeat(o.loud(), 0)));
     }
 
     /// Danger: a status that is taken for "it never ran" when it may have lets a request run twice.
     #[test]
     fn only_what_was_turned_away_unseen_counts_as_never_run() {
-        for status in status::ALL.into_iter().map(Some).chain([None]) {
+        for status in Status::VARIANTS.iter().copied().map(Some).chain([None]) {
             let never_ran = match outcome(Opcode::Increment, status) {
                 Outcome::Final => false,
                 Outcome::Miss => panic!("a counter is no read"),
--- a/crates/memcached/src/opcode.rs
+++ b/crates/memcached/src/opcode.rs
@@ -1,7 +1,9 @@
 //! Operations and their quiet forms.
 
+use strum::{FromRepr, VariantArray};
+
 /// An operation, by its number on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, FromRepr, VariantArray)]
 #[repr(u8)]
 #[allow(missing_docs, reason = "the names are the protocol's own")]
 pub enum Opcode {
@@ -43,46 +45,6 @@
     GatKQ = 0x24,
 }
 
-/// All operations, in the order of their numbers.
-pub const ALL: [Opcode; 36] = [
-    Opcode::Get,
-    Opcode::Set,
-    Opcode::Add,
-    Opcode::Replace,
-    Opcode::Delete,
-    Opcode::Increment,
-    Opcode::Decrement,
-    Opcode::Quit,
-    Opcode::Flush,
-    Opcode::GetQ,
-    Opcode::Noop,
-    Opcode::Version,
-    Opcode::GetK,
-    Opcode::GetKQ,
-    Opcode::Append,
-    Opcode::Prepend,
-    Opcode::Stat,
-    Opcode::SetQ,
-    Opcode::AddQ,
-    Opcode::ReplaceQ,
-    Opcode::DeleteQ,
-    Opcode::IncrementQ,
-    Opcode::DecrementQ,
-    Opcode::QuitQ,
-    Opcode::FlushQ,
-    Opcode::AppendQ,
-    Opcode::PrependQ,
-    Opcode::Verbosity,
-    Opcode::Touch,
-    Opcode::Gat,
-    Opcode::GatQ,
-    Opcode::SaslList,
-    Opcode::SaslAuth,
-    Opcode::SaslStep,
-    Opcode::GatK,
-    Opcode::GatKQ,
-];
-
 /// Whether a part of a packet is there.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Presence {
@@ -106,11 +68,6 @@
 }
 
 impl Opcode {
-    /// The operation of a number; none that is known has it otherwise.
-    pub fn from_byte(byte: u8) -> Option<Self> {
-        ALL.binary_search_by_key(&byte, |o| *o as u8).ok().map(|n| ALL[n])
-    }
-
     /// The operation that it is a quiet form of, or itself.
     pub fn loud(self) -> Self {
         match self {
@@ -186,15 +143,15 @@
     fn each_number_is_found_again_and_others_are_none() {
         for byte in 0..=u8::MAX {
             assert_eq!(
-                Opcode::from_byte(byte).map(|o| o as u8),
-                ALL.iter().map(|o| *o as u8).find(|b| *b == byte)
+                Opcode::from_repr(byte).map(|o| o as u8),
+                Opcode::VARIANTS.iter().map(|o| *o as u8).find(|b| *b == byte)
             );
         }
     }
 
     #[test]
     fn a_quiet_form_has_the_shape_of_its_loud_one() {
-        let quiet: Vec<Opcode> = ALL.into_iter().filter(|o| o.quiet()).collect();
+        let quiet: Vec<Opcode> = Opcode::VARIANTS.iter().copied().filter(|o| o.quiet()).collect();
         assert_eq!(quiet.len(), 14);
         for opcode in quiet {
             let loud = opcode.loud();
--- a/crates/memcached/src/status.rs
+++ b/crates/memcached/src/status.rs
@@ -1,7 +1,9 @@
 //! What an answer says became of its request.
 
+use strum::{FromRepr, VariantArray};
+
 /// A status, by its number on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, FromRepr, VariantArray)]
 #[repr(u16)]
 pub enum Status {
     /// Done.
@@ -38,32 +40,7 @@
     Temporary = 0x0086,
 }
 
-/// All statuses, in the order of their numbers.
-pub const ALL: [Status; 16] = [
-    Status::Ok,
-    Status::NotFound,
-    Status::Exists,
-    Status::TooLarge,
-    Status::Invalid,
-    Status::NotStored,
-    Status::NotNumber,
-    Status::WrongBucket,
-    Status::AuthError,
-    Status::AuthContinue,
-    Status::Unknown,
-    Status::NoMemory,
-    Status::NotSupported,
-    Status::Internal,
-    Status::Busy,
-    Status::Temporary,
-];
-
 impl Status {
-    /// The status of a number; none that is known has it otherwise.
-    pub fn from_number(number: u16) -> Option<Self> {
-        ALL.binary_search_by_key(&number, |s| *s as u16).ok().map(|n| ALL[n])
-    }
-
     /// The text that servers put into the value of an answer with it.
     pub fn text(self) -> &'static str {
         match self {
@@ -94,8 +71,8 @@
     #[test]
     fn each_number_is_found_again_and_others_are_none() {
         for number in 0..=u16::MAX {
-            let known = ALL.iter().copied().find(|s| *s as u16 == number);
-            assert_eq!(Status::from_number(number), known);
+            let known = Status::VARIANTS.iter().copied().find(|s| *s as u16 == number);
+            assert_eq!(Status::from_repr(number), known);
         }
     }
 }
--- a/crates/memcached/tests/codec.rs
+++ b/crates/memcached/tests/codec.rs
@@ -6,6 +6,7 @@
 use aniseyoke_memcached::{encode, opcode, Decoder, Extras, Fault, Head, Limits, Opcode, Part, Side, Status};
 use bytes::{Bytes, BytesMut};
 use proptest::prelude::*;
+use strum::VariantArray;
 
 fn hex(text: &str) -> Vec<u8> {
     let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
@@ -134,7 +135,7 @@
 fn some_request() -> impl Strategy<Value = (Head, Vec<u8>)> {
     let numbers = (any::<u64>(), any::<u64>(), any::<u32>(), any::<u32>());
     let texts = (prop::collection::vec(any::<u8>(), 1..=250), prop::collection::vec(any::<u8>(), 0..600));
-    (prop::sample::select(opcode::ALL.to_vec()), numbers, any::<u16>(), texts).prop_map(
+    (prop::sample::select(Opcode::VARIANTS.to_vec()), numbers, any::<u16>(), texts).prop_map(
         |(opcode, (a, b, c, opaque), field, (key, value))| {
             let extras = match (opcode.loud(), opcode.extras().last()) {
                 (Opcode::Verbosity, _) => Extras::Verbosity(c),
