Weigh keys by what each kind of machine bears, measured from load reports

Counted over 100 proxies by a trace of refusals and attempts: 5,022 attempts timed out at nodes at the aim, from the first second on, most of them at nodes of the slow kind; 4,886 refusals followed these, 5,330 were shed by admission because of them. The list calls all nodes alike (weight 1), so Buckets::rank gave each the same share of keys; a proxy meets a node once in 4 s, so its own count of what is out there shows nothing. By the nodes' own reports, which were dropped unread, kinds bear 66, 42 and 27 requests a second; the fast kind was 37% busy, the slow one 74%, many of it 95% and more. Ruled out: the origin (it answered 12,133 of 13,590 in 36 ms at the median) and silent nodes (seven, about 100 of 250 time-outs a second, for 11 s). A probe measured before the change that one proxy knows each kind to 9% after 3 s.

--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -2,7 +2,7 @@
 #![forbid(unsafe_code)]
 
 use aniseyoke_benchlink::wire::{self, Line};
-use aniseyoke_decision::api::{Action, Entry, Event, ListKind, Nanos, ServerId};
+use aniseyoke_decision::api::{Action, Columns, Entry, Event, ListKind, Nanos, ServerId};
 use aniseyoke_decision::Balancer;
 use rustc_hash::FxHashMap;
 use std::io::{self, BufRead, Write};
@@ -13,6 +13,7 @@
 struct Adapter {
     now: Nanos,
     balancers: FxHashMap<String, Balancer>,
+    columns: FxHashMap<String, Columns>,
     names: FxHashMap<ServerId, String>,
     pages: [Option<Vec<Entry>>; 16],
     in_batch: bool,
@@ -57,6 +58,7 @@
             }
             Line::Entry(..) => return Err("entry without a list".into()),
             Line::New { instance, seed, settings } => {
+                self.columns.insert(instance.clone(), settings.report);
                 self.balancers.insert(instance, Balancer::new(*settings, seed));
             }
             Line::Members { instance, kind, page } => {
@@ -67,19 +69,26 @@
                         list.ok_or(format!("list {page} was never sent"))?
                     }
                 };
-                self.event(instance, Event::List { kind, entries });
+                self.event(&instance, Event::List { kind, entries });
             }
             Line::Stop(instance) => {
+                self.columns.remove(&instance);
                 self.balancers.remove(&instance);
             }
-            Line::Event(instance, event) => self.event(instance, event),
+            Line::Outcome(instance, outcome, row) => {
+                if let Some(load) = self.columns.get(&instance).and_then(|c| c.load(&row)) {
+                    self.event(&instance, Event::Load { server: outcome.server, load });
+                }
+                self.event(&instance, Event::Outcome(outcome));
+            }
+            Line::Event(instance, event) => self.event(&instance, event),
             Line::Ignored => {}
         }
         Ok(false)
     }
 
-    fn event(&mut self, instance: String, event: Event) {
-        let Some(balancer) = self.balancers.get_mut(&instance) else {
+    fn event(&mut self, instance: &str, event: Event) {
+        let Some(balancer) = self.balancers.get_mut(instance) else {
             return;
         };
         // A failure inside the decisions must reach the operators as such, not as a dead process.
@@ -89,12 +98,12 @@
             let text = panic.downcast_ref::<String>().map(String::as_str);
             let text = text.or(panic.downcast_ref::<&str>().copied()).unwrap_or("panic").replace('\n', " ");
             self.actions.clear();
-            self.balancers.remove(&instance);
+            self.balancers.remove(instance);
             self.reply.push_str(&format!("bug {instance} {text}\n"));
             return;
         }
         for action in self.actions.drain(..) {
-            wire::write(&mut self.reply, &instance, &action, |s| self.names.get(&s).cloned());
+            wire::write(&mut self.reply, instance, &action, |s| self.names.get(&s).cloned());
         }
     }
 }
--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -41,6 +41,8 @@
     Stop(String),
     /// Any other event of an instance.
     Event(String, Event),
+    /// An attempt of an instance has ended, with the row of its server's load report, if one came along.
+    Outcome(String, Outcome, Vec<Option<f64>>),
     /// A message that this build does not use.
     Ignored,
 }
@@ -94,11 +96,12 @@
     })
 }
 
-/// Checks a load report. No decision rests on one (docs/design.md).
-fn load(p: &mut Parts) -> Result<(), String> {
+/// A load report; `-` for none, or for a value that it lacks.
+fn load(p: &mut Parts) -> Result<Vec<Option<f64>>, String> {
     let row = part(p, "load")?;
-    let sound = row == "-" || row.split(',').all(|v| v == "-" || v.parse::<f64>().is_ok());
-    sound.then_some(()).ok_or(format!("load is not a row of numbers: {row:?}"))
+    let bad = |_| format!("load is not a row of numbers: {row:?}");
+    let value = |v: &str| if v == "-" { Ok(None) } else { v.parse().map(Some).map_err(bad) };
+    row.split(',').map(value).collect()
 }
 
 fn instance(p: &mut Parts) -> Result<String, String> {
@@ -142,8 +145,7 @@
                 last: flag(p, "final")?,
                 hit: optional::<u32>(p, "note")?.filter(|n| *n > 0).map(|n| n == 1),
             };
-            load(p)?;
-            Line::Event(instance, Event::Outcome(outcome))
+            Line::Outcome(instance, outcome, load(p)?)
         }
         "tick_due" => Line::Event(instance(p)?, Event::Timer(number(p, "handle")?)),
         "expired" => Line::Event(instance(p)?, Event::Expired(number(p, "corr")?)),
--- a/crates/benchlink/tests/wire.rs
+++ b/crates/benchlink/tests/wire.rs
@@ -107,14 +107,13 @@
 #[test]
 fn lines_keep_their_values() {
     let line = "report_back proxy_3 2526988522394052 1 node_abuevth done 18500000 1 2 3.5,-";
-    let Ok(Line::Event(
-        instance,
-        Event::Outcome(Outcome { id, attempt, server, status, elapsed, last, hit }),
-    )) = wire::parse(line)
+    let Ok(Line::Outcome(instance, Outcome { id, attempt, server, status, elapsed, last, hit }, row)) =
+        wire::parse(line)
     else {
         panic!("not an outcome")
     };
     assert_eq!((instance.as_str(), id, attempt, elapsed), ("proxy_3", 2_526_988_522_394_052, 1, 18_500_000));
+    assert_eq!(row, [Some(3.5), None]);
     assert_eq!((server, status, last, hit), (server_id("node_abuevth"), Status::Ok, true, Some(false)));
     let Ok(Line::Event(_, Event::Arrival(r))) =
         wire::parse("arrival proxy_3 7 1 - 91f03b7c55d20a64 -5 12000000 1.5 7")
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -227,8 +227,9 @@
         if !pending.attempts.get(number).is_some_and(|a| matches!(a.at, At::Node { .. })) {
             return;
         }
-        let mut events = VecDeque::new();
-        let mut first = false;
+        let (server, mut first) = (pending.attempts[number].server, false);
+        let mut events: VecDeque<Event> =
+            ended.load.map(|load| Event::Load { server, load }).into_iter().collect();
         if let Some(response) = ended.answer {
             if let Some(answer) = pending.answer.take() {
                 let _ = answer.send(Answer::Served(response));
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -68,7 +68,7 @@
         self.started.borrow_mut().push(Some(end));
         async move {
             let status = ended.await.unwrap_or(Status::Cancelled);
-            Ended { status, hit: None, answer: (status == Status::Ok).then_some(()) }
+            Ended { status, hit: None, load: None, answer: (status == Status::Ok).then_some(()) }
         }
     }
 }
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -1,7 +1,7 @@
 //! What the core needs of a node side: a payload that it can't look into, attempts with that payload, and the list of
 //! nodes. A node side speaks some protocol; the core knows none.
 
-use aniseyoke_decision::api::{Entry, ServerId, Status};
+use aniseyoke_decision::api::{Entry, Load, ServerId, Status};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
@@ -38,13 +38,15 @@
     pub status: Status,
     /// Whether the node had the key, where it tells.
     pub hit: Option<bool>,
+    /// What the node said of its load.
+    pub load: Option<Load>,
     /// The answer, where it was served.
     pub answer: Option<R>,
 }
 
 impl<R> From<Status> for Ended<R> {
     fn from(status: Status) -> Self {
-        Ended { status, hit: None, answer: None }
+        Ended { status, hit: None, load: None, answer: None }
     }
 }
 
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -145,6 +145,50 @@
     pub must_ask_in: Nanos,
     /// Clients mark the tries that repeat an earlier one.
     pub marks_retry: bool,
+    /// Where a row of a load report holds what.
+    pub report: Columns,
+}
+
+/// Where a load report that is a bare row holds what; none: it is not told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Columns {
+    /// The part of its cores that is busy.
+    pub busy: Option<usize>,
+    /// Requests served a second.
+    pub rate: Option<usize>,
+}
+
+impl Columns {
+    /// What a row says.
+    pub fn load(&self, row: &[Option<f64>]) -> Option<Load> {
+        let at = |column: Option<usize>| row.get(column?).copied().flatten();
+        Load::new(at(self.busy)?, at(self.rate)?)
+    }
+}
+
+/// What a server says of its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Load {
+    busy: f64,
+    rate: f64,
+}
+
+impl Load {
+    /// The part of its cores that is busy, and requests served a second; none if that can't be.
+    pub fn new(busy: f64, rate: f64) -> Option<Self> {
+        let sound = |v: f64, most: f64| v.is_finite() && (0.0..=most).contains(&v);
+        (sound(busy, 64.0) && sound(rate, 1e9)).then_some(Load { busy, rate })
+    }
+
+    /// The part of its cores that is busy; noise may carry it past 1.
+    pub fn busy(&self) -> f64 {
+        self.busy
+    }
+
+    /// Requests served a second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
 }
 
 impl Settings {
@@ -298,6 +342,13 @@
     Excluded(ServerId),
     /// Operators gave it back.
     Included(ServerId),
+    /// A server has told of its load.
+    Load {
+        /// Which server.
+        server: ServerId,
+        /// Its load, some time ago.
+        load: Load,
+    },
     /// A server's room, as its limit has it now. None is told where nothing is limited.
     Room {
         /// Which server.
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -16,6 +16,7 @@
 mod choice;
 mod health;
 mod origin;
+mod speed;
 mod traffic;
 
 use crate::api::*;
@@ -37,6 +38,7 @@
     traffic: traffic::Traffic,
     origin: origin::Origin,
     admission: admission::Admission,
+    speeds: speed::Speeds,
     open: FxHashMap<RequestId, Open>,
 }
 
@@ -53,6 +55,7 @@
             traffic: traffic::Traffic::new(settings.clone()),
             origin: origin::Origin::new(settings.clone()),
             admission: admission::Admission::new(settings.clone()),
+            speeds: speed::Speeds::default(),
             open: FxHashMap::default(),
             settings,
         }
@@ -95,11 +98,7 @@
             Event::Outcome(o) => self.outcome(now, o, actions),
             Event::Timer(token) if token & HEDGE != 0 => self.hedge(now, token & (HEDGE - 1), actions),
             Event::Timer(token) => self.follow.timer(token, actions),
-            Event::Expired(id) => {
-                if let Some(open) = self.close(id) {
-                    self.admission.ended(&open, 0.0);
-                }
-            }
+            Event::Expired(id) => self.close(id).iter().for_each(|open| self.admission.ended(open, 0.0)),
             Event::Taken(id) => {
                 if let Some(open) = self.open.get_mut(&id) {
                     let shift = now.saturating_sub(std::mem::replace(&mut open.arrived, now));
@@ -108,6 +107,7 @@
             }
             Event::Excluded(server) => self.roster.ban(now, server, true, actions),
             Event::Included(server) => self.roster.ban(now, server, false, actions),
+            Event::Load { server, load } => self.reported(now, server, load),
             Event::Room { server, room } => {
                 self.roster.get_mut(server).into_iter().for_each(|s| s.room = Some(room));
             }
--- a/crates/decision/src/logic/admission.rs
+++ b/crates/decision/src/logic/admission.rs
@@ -37,6 +37,7 @@
 }
 
 /// What is let in.
+#[derive(Default)]
 pub struct Admission {
     pub settings: Arc<Settings>,
     judged: Judged,
@@ -52,14 +53,7 @@
 impl Admission {
     pub fn new(settings: Arc<Settings>) -> Self {
         let share_left = vec![(1.0, 0); settings.tenants.len()];
-        Admission {
-            settings,
-            judged: Judged::default(),
-            usual_worth: 0.0,
-            taken: 1.0,
-            extra: 1.0,
-            share_left,
-        }
+        Admission { settings, taken: 1.0, extra: 1.0, share_left, ..Admission::default() }
     }
 
     /// Whether some tries are refused unsent.
--- a/crates/decision/src/logic/attempts.rs
+++ b/crates/decision/src/logic/attempts.rs
@@ -21,6 +21,7 @@
 }
 
 /// A request without its final answer.
+#[derive(Default)]
 pub struct Open {
     /// The settings that it came under, which say where it may go until its answer.
     pub under: Arc<Settings>,
@@ -77,15 +78,11 @@
             write: r.write,
             aim_at: now.saturating_add(aim),
             deadline: now.saturating_add(r.remaining),
-            streaming: false,
             tenant: r.tenant.map(|t| t as usize),
             arrived: now,
             judged: !hopeless,
-            poor: false,
-            fetch: false,
-            end: End::Late,
-            attempts: Vec::new(),
             under: self.settings.clone(),
+            ..Open::default()
         };
         let share = self.shed(now, &mut open);
         let mut refused = hopeless || share > 0.0 && self.chance.draw() < share;
--- a/crates/decision/src/logic/health.rs
+++ b/crates/decision/src/logic/health.rs
@@ -42,10 +42,9 @@
 
     /// Takes note of whether an attempt found a connection.
     pub fn reached(&mut self, status: Status) {
-        if !matches!(status, Status::Cancelled | Status::Moot) {
-            let refused = f64::from(u8::from(status == Status::ConnectFailed));
-            self.unreached += UNREACHED_GAIN * (refused - self.unreached);
-        }
+        let refused = f64::from(u8::from(status == Status::ConnectFailed));
+        let tried = !matches!(status, Status::Cancelled | Status::Moot);
+        self.unreached += f64::from(u8::from(tried)) * UNREACHED_GAIN * (refused - self.unreached);
     }
 }
 
--- a/crates/decision/src/logic/traffic.rs
+++ b/crates/decision/src/logic/traffic.rs
@@ -30,6 +30,7 @@
 }
 
 /// Counts over all requests.
+#[derive(Default)]
 pub struct Traffic {
     pub settings: Arc<Settings>,
     pub seen: Vec<Seen>,
@@ -43,9 +44,8 @@
 impl Traffic {
     pub fn new(settings: Arc<Settings>) -> Self {
         let seen = vec![Seen::default(); settings.classes.len()];
-        let (count, served) = (Fading::default(), Fading::default());
         let budgets = vec![1.0; 1 + settings.tenants.len()];
-        Traffic { settings, seen, count, started: None, budgets, served }
+        Traffic { settings, seen, budgets, ..Traffic::default() }
     }
 
     pub fn arrived(&mut self, now: Nanos, tenant: Option<usize>) {
--- a/crates/decision/src/roster.rs
+++ b/crates/decision/src/roster.rs
@@ -46,6 +46,8 @@
     pub total_weight: f64,
     pub live: f64,
     pub inflight: f64,
+    /// What a machine of a kind bears against the mean, beyond what the list says of its size.
+    speeds: FxHashMap<u32, f64>,
 }
 
 impl Roster {
@@ -62,6 +64,7 @@
             total_weight: 0.0,
             live: 0.0,
             inflight: 0.0,
+            speeds: FxHashMap::default(),
         }
     }
 
@@ -144,12 +147,24 @@
         self.by_id.insert(server, i);
     }
 
-    /// Takes the weights of the servers from the list.
+    /// What a machine of a kind bears against the mean; 1 while that is not known.
+    pub fn speed(&self, kind: u32) -> f64 {
+        self.speeds.get(&kind).copied().unwrap_or(1.0)
+    }
+
+    /// Takes over what is known of the kinds; ranks follow.
+    pub fn sped(&mut self, speeds: FxHashMap<u32, f64>) {
+        self.speeds = speeds;
+        self.weigh();
+    }
+
+    /// Takes the weights of the servers from the list and from what is known of their kinds.
     fn weigh(&mut self) {
         (self.total_weight, self.live) = (0.0, 0.0);
         for i in 0..self.servers.len() {
             let listed = self.servers[i].entry.weight;
             let weight = if listed.is_finite() { listed.clamp(1e-6, 1e9) } else { 1.0 };
+            let weight = weight * self.speed(self.servers[i].entry.kind);
             self.servers[i].inverse_weight = 1.0 / weight;
             if self.ranks(&self.servers[i]) {
                 self.total_weight += weight;
--- /dev/null
+++ b/crates/decision/tests/speeds.rs
@@ -0,0 +1,130 @@
+//! What a proxy learns from load reports of the kinds of machines, and where its keys go by that.
+
+mod common;
+use aniseyoke_decision::api::*;
+use common::*;
+
+/// Machines of three kinds, whom the list calls alike.
+fn site() -> Vec<Entry> {
+    (0..60).map(|n| Entry { kind: (n % 3) as u32, ..entry(n) }).collect()
+}
+
+/// Requests a second that a machine of each kind serves while all of it is busy.
+const BEARS: [f64; 3] = [66.0, 42.0, 27.0];
+
+/// A report of a server of this kind, off by a part of noise.
+fn report(p: &mut Proxy, n: u64, busy: f64, noise: f64) {
+    let served = BEARS[(n % 3) as usize] * busy * (1.0 + noise);
+    let load = Load::new(busy, served).expect("sound");
+    p.event(Event::Load { server: entry(n).server, load });
+}
+
+/// The part of the keys that each kind gets from a fresh proxy of this seed once it has heard of its servers.
+fn shares(p: &mut Proxy) -> [f64; 3] {
+    let mut shares = [0.0; 3];
+    let list = site();
+    for key in 0..3000u64 {
+        p.now += 50 * MS;
+        let (id, actions) = p.ask(key * 0x9e37_79b9);
+        let server = sent(&actions).expect("sent");
+        shares[list.iter().find(|e| e.server == server).expect("listed").kind as usize] += 1.0 / 3000.0;
+        p.now += MS;
+        p.end(id, 0, server, Status::Ok, Some(true));
+    }
+    shares
+}
+
+/// Each server reports once, in turn and with noise that differs from proxy to proxy.
+fn told(seed: u64) -> Proxy {
+    let mut p = Proxy::new(settings(), seed);
+    p.list(ListKind::Cached, site());
+    for n in 0..60 {
+        report(
+            &mut p,
+            n,
+            0.3 + 0.01 * (n % 60) as f64,
+            0.3 * (((n * 7 + seed * 13) % 11) as f64 / 5.0 - 1.0),
+        );
+    }
+    p
+}
+
+/// Danger: one proxy of a hundred meets a server once in seconds and never sees that slow ones drown.
+#[test]
+fn keys_go_by_what_a_kind_bears_and_not_by_number_of_machines() {
+    let even = shares(&mut Proxy::with(settings(), site()));
+    assert!(even.iter().all(|s| (s - 1.0 / 3.0).abs() < 0.06), "nothing told, all alike: {even:?}");
+    let by_kind = shares(&mut told(3));
+    for (kind, bears) in BEARS.iter().enumerate() {
+        let due = bears / BEARS.iter().sum::<f64>();
+        assert!((by_kind[kind] - due).abs() < 0.07, "kind {kind}: {} of the keys, due {due}", by_kind[kind]);
+    }
+}
+
+/// Danger: proxies that know a little different things of the kinds would each fill another server.
+#[test]
+fn proxies_that_heard_noisy_reports_agree_on_nearly_all_keys() {
+    let (mut one, mut other) = (told(1), told(2));
+    let mut alike = 0;
+    for key in 0..1000u64 {
+        let mut to = [0; 2];
+        for (p, to) in [&mut one, &mut other].into_iter().zip(&mut to) {
+            p.now += 50 * MS;
+            let (id, actions) = p.ask(key * 0x9e37_79b9);
+            *to = sent(&actions).expect("sent");
+            p.now += MS;
+            p.end(id, 0, *to, Status::Ok, Some(true));
+        }
+        alike += u32::from(to[0] == to[1]);
+    }
+    assert!(alike > 900, "{alike} of 1000 keys go to one server from both");
+}
+
+/// Danger: a list that tells sizes already would count them twice.
+#[test]
+fn what_the_list_says_of_a_size_is_not_counted_twice() {
+    let list = |weight: [f64; 3]| -> Vec<Entry> {
+        site().into_iter().map(|e| Entry { weight: weight[e.kind as usize], ..e }).collect()
+    };
+    let mut p = Proxy::with(settings(), list(BEARS));
+    (0..600).for_each(|n| report(&mut p, n % 60, 0.6, 0.0));
+    let told = shares(&mut p);
+    for (kind, bears) in BEARS.iter().enumerate() {
+        assert!((told[kind] - bears / BEARS.iter().sum::<f64>()).abs() < 0.07, "{told:?}");
+    }
+}
+
+/// Idle servers, cold ones and the origin say nothing of a kind; nor do servers that are not listed.
+#[test]
+fn only_warm_busy_servers_count() {
+    let mut s = settings();
+    (s.aside, s.origin_kind) = (true, Some(3));
+    let mut list = site();
+    list.iter_mut().filter(|e| e.kind == 0).for_each(|e| e.started = 999 * SECOND);
+    list.push(Entry { kind: 3, ..entry(60) });
+    let mut p = Proxy::with(s, list);
+    for n in 0..600u64 {
+        let (server, busy) = match n % 3 {
+            0 => (entry(n % 60).server, 0.9),
+            1 => (entry(n % 60).server, 0.01),
+            _ => (if n % 2 == 0 { entry(60).server } else { 4711 }, 0.9),
+        };
+        p.event(Event::Load { server, load: Load::new(busy, 500.0 * busy).expect("sound") });
+    }
+    let kept = shares(&mut p);
+    let warm = kept[1] / (kept[1] + kept[2]);
+    assert!((warm - 0.5).abs() < 0.06, "warm kinds stay alike: {kept:?}");
+}
+
+#[test]
+fn loads_that_cannot_be_are_none() {
+    for (busy, rate) in [(f64::NAN, 1.0), (-0.1, 1.0), (0.5, f64::INFINITY), (0.5, -3.0), (1e9, 1.0)] {
+        assert_eq!(Load::new(busy, rate), None, "{busy} {rate}");
+    }
+    let columns = Columns { busy: Some(0), rate: Some(2) };
+    let load = columns.load(&[Some(0.5), None, Some(20.0)]).expect("told");
+    assert_eq!((load.busy(), load.rate()), (0.5, 20.0));
+    assert_eq!(columns.load(&[Some(0.5), None, None]), None);
+    assert_eq!(columns.load(&[Some(0.5)]), None);
+    assert_eq!(Columns::default().load(&[Some(0.5), Some(1.0), Some(20.0)]), None);
+}
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -6,7 +6,7 @@
 use super::upload::{Payload, Sending};
 use super::{BODY_MOST, BUFFER_MOST, LARGEST};
 use aniseyoke_core::Fleet;
-use aniseyoke_decision::api::{Entry, Nanos, ServerId, State, Status};
+use aniseyoke_decision::api::{Entry, Load, Nanos, ServerId, State, Status};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -36,6 +36,7 @@
 /// An answer of unknown length that is not whole so long after its head is passed on as it comes.
 const HOLD: Duration = Duration::from_millis(20);
 const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
+const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
 /// A client's request as it goes on to any cache node.
 pub struct Job {
@@ -325,7 +326,7 @@
                 }
                 Read::Large(head, ahead, rest) => {
                     connection.socket.stream();
-                    let hit = hit(&head.headers);
+                    let (hit, load) = (hit(&head.headers), load(&head.headers));
                     let pool = Rc::downgrade(self);
                     let done = move || {
                         if let Some(pool) = pool.upgrade().filter(|_| connection.socket.whole()) {
@@ -333,7 +334,7 @@
                         }
                     };
                     let answer = Response::from_parts(head, Relay::new(ahead, rest, done).into());
-                    Ended { status: Status::Ok, hit, answer: Some(answer) }
+                    Ended { status: Status::Ok, hit, load, answer: Some(answer) }
                 }
             };
         }
@@ -379,10 +380,10 @@
         if let Some(held) = &mut held {
             held.shrink(ahead.len());
         }
-        let (status, hit) = (status(&head), hit(&head.headers));
+        let (status, hit, load) = (status(&head), hit(&head.headers), load(&head.headers));
         let answer =
             (status == Status::Ok).then(|| Response::from_parts(head, Outgoing::whole(ahead.into(), held)));
-        Read::Whole(Ended { status, hit, answer })
+        Read::Whole(Ended { status, hit, load, answer })
     }
 
     /// Where a node takes new work.
@@ -489,6 +490,17 @@
     headers.get(&LOOKUP).map(|v| v == "hit")
 }
 
+/// What an answer says of its node's load; a report that can't be read says nothing.
+fn load(headers: &HeaderMap) -> Option<Load> {
+    #[derive(serde::Deserialize)]
+    struct Report {
+        load_share: f64,
+        tps: f64,
+    }
+    let report: Report = serde_json::from_slice(headers.get(&LOAD)?.as_bytes()).ok()?;
+    Load::new(report.load_share, report.tps)
+}
+
 /// Returns once a node has taken nothing of a request for long that is not written whole.
 async fn stuck(tether: &Tether) {
     loop {
@@ -504,6 +516,28 @@
     use super::*;
     use tokio::net::TcpListener;
 
+    /// Danger: a report that can't be read, or says what can't be, must spoil neither its answer nor what is known.
+    #[test]
+    fn a_load_report_counts_only_if_it_makes_sense() {
+        let told = |text: &[u8]| {
+            let value = HeaderValue::from_bytes(text).expect("a value");
+            load(&HeaderMap::from_iter([(LOAD, value)]))
+        };
+        let row = told(br#"{"load_share":0.62,"err_ps":0.5,"tps":14,"x0":0.4,"new":[1]}"#);
+        assert_eq!(row, Load::new(0.62, 14.0));
+        assert!(row.is_some() && load(&HeaderMap::new()).is_none());
+        let bad: [&[u8]; 7] = [
+            b"",
+            b"{\"load_share\":0.6",
+            b"0.62,0.5,14",
+            br#"{"load_share":"0.6","tps":3}"#,
+            br#"{"load_share":-1,"tps":3}"#,
+            br#"{"load_share":1e300,"tps":1e300}"#,
+            b"\xff\xfe",
+        ];
+        assert!(bad.iter().all(|text| told(text).is_none()));
+    }
+
     /// Danger: a node that is blamed for the proxy's own shortage is left with all its keys.
     #[tokio::test(flavor = "current_thread")]
     async fn a_lack_of_descriptors_is_not_the_nodes_fault() {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -81,6 +81,10 @@
                 "self_index" => set(&mut s.me, path, v)?,
                 "discovery" => s.must_ask = v == "subscribe",
                 "family_info.mode" => s.aside = v == "aside",
+                "report.columns" => {
+                    let at = |name| v.split(',').position(|column| column == name);
+                    s.report = Columns { busy: at("load_share"), rate: at("tps") };
+                }
                 "family_info.origin_kind" => set(&mut origin, path, v)?,
                 "over_share_worth" => set(&mut s.over_share_worth, path, v)?,
                 "worth_by" => s.worth_by_work = v == "work",
