Bound how far a kind's measured speed may lie from the mean

Need: found in rereading; a node whose reports are sound numbers and mean nothing (a rate next to 0, or 1e9) would starve its kind of keys or give it all. reported() in speed.rs took any ratio. Change: a kind counts as bearing an eighth to eight times the mean at most; a test with both reports, which fails without the bound.

--- a/crates/decision/src/logic/speed.rs
+++ b/crates/decision/src/logic/speed.rs
@@ -9,6 +9,8 @@
 const GAIN: f64 = 0.002;
 /// How far what a kind bears must have moved before ranks follow: each move costs misses.
 const STEP: f64 = 0.1;
+/// The most by which kinds may differ from the mean. Danger: broken reports would starve a kind, or flood it.
+const MOST: f64 = 8.0;
 
 /// For each kind, busy time reported and what was served in it. Danger: one proxy of many meets each server
 /// seldom and sees nothing of what others send there; at even shares slow ones drown while fast ones idle.
@@ -26,7 +28,7 @@
         *served = *served * (1.0 - GAIN) + load.rate() * s.inverse_weight * self.roster.speed(s.entry.kind);
         let known = || self.speeds.iter().filter(|(_, of)| of.0 >= SURE && of.1 > 0.0);
         let all = known().fold((0.0, 0.0), |sum, (_, of)| (sum.0 + of.0, sum.1 + of.1));
-        let speeds = known().map(|(kind, of)| (*kind, of.1 / of.0 * all.0 / all.1));
+        let speeds = known().map(|(kind, of)| (*kind, (of.1 / of.0 * all.0 / all.1).clamp(1.0 / MOST, MOST)));
         if speeds.clone().any(|(kind, speed)| (speed / self.roster.speed(kind) - 1.0).abs() > STEP) {
             self.roster.sped(speeds.collect());
         }
--- a/crates/decision/tests/speeds.rs
+++ b/crates/decision/tests/speeds.rs
@@ -195,3 +195,18 @@
     }
     panic!("the server is never tried again");
 }
+
+/// Danger: reports that are sound as numbers and mean nothing would take all keys from a kind, or give it all.
+#[test]
+fn absurd_reports_starve_no_kind() {
+    for absurd in [1e-300, 1e9] {
+        let mut p = Proxy::with(settings(), site());
+        for n in 0..600u64 {
+            let rate = if n % 3 == 0 { absurd } else { 20.0 };
+            let load = Load::new(0.9, rate).expect("sound");
+            p.event(Event::Load { server: entry(n % 60).server, load });
+        }
+        let got = shares(&mut p);
+        assert!(got.iter().all(|s| *s > 0.01), "{absurd}: {got:?}");
+    }
+}
