Judge tries with little time by what is answered so soon, not by a usual time left

At fault: `Traffic::aim_left`, which held the one time left with most votes for what clients give and dated all others as the rest of a wait: hasty tries won the vote, and usual ones passed for late repeats.

Ruled out: the origin (room 2.4 of 3 on average, 0.1 out), cold budgets (no refusal by them), suspicion (under two nodes a proxy), lists.

Change: a time left that a tenth of the tries share is one that clients give; only a longer one dates. A try with less time than answers usually take is sent the less, the less of all tries is answered so soon, and says nothing against servers. What is known of times stands in a file of its own, which decides nothing.

--- a/crates/decision/src/lib.rs
+++ b/crates/decision/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod logic;
 mod numbers;
 mod roster;
+mod times;
 
 pub use logic::Balancer;
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -23,6 +23,7 @@
 use crate::follow::Follow;
 use crate::numbers::{mix, seconds, unit, Chance, Fading, MS, SECOND};
 use crate::roster::{Roster, Server};
+use crate::times::Times;
 use attempts::{Open, HEDGE};
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
@@ -97,7 +98,7 @@
             Event::Outcome(o) => self.outcome(now, o, actions),
             Event::Timer(token) if token & HEDGE != 0 => self.hedge(now, token & (HEDGE - 1), actions),
             Event::Timer(token) => self.follow.timer(token, actions),
-            Event::Expired(id) => self.close(id).iter().for_each(|open| self.admission.ended(open, 0.0)),
+            Event::Expired(id) => self.close(id).iter().for_each(|open| self.lost(open)),
             Event::Taken(id) => self.open.get_mut(&id).into_iter().for_each(|open| {
                 let shift = now.saturating_sub(std::mem::replace(&mut open.arrived, now));
                 (open.aim_at, open.deadline) = (open.aim_at + shift, open.deadline + shift);
--- a/crates/decision/src/logic/attempts.rs
+++ b/crates/decision/src/logic/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-/// A request with less than this part of the usual time left is hopeless.
+/// A try with less time than answers take is hopeless, the surer the less than this part is answered so soon.
 const HOPELESS: f64 = 0.5;
 /// Timer tokens of second copies carry this bit above the request's id.
 pub const HEDGE: u64 = 1 << 56;
@@ -70,7 +70,12 @@
         let pool = r.pool.map(|p| p as usize);
         let bucket = r.key.map(|k| self.buckets.of(r.class as usize, pool, k));
         let usual = self.traffic.usual(r.class as usize);
-        let hopeless = class.late_value <= 0.0 && (aim as f64) < HOPELESS * usual.mean;
+        // Danger: clients that give a try less than an answer takes come again at once; each such try costs
+        // its server as much as another, and a connection when it is cut.
+        let short = (aim as f64) < usual.most().min(class.aim as f64);
+        let hopeless = class.late_value <= 0.0
+            && short
+            && usual.within(&class, aim) < HOPELESS * self.chance.draw().sqrt();
         let mut open = Open {
             class: r.class as usize,
             pool,
@@ -80,7 +85,7 @@
             deadline: now.saturating_add(r.remaining),
             tenant: r.tenant.map(|t| t as usize),
             arrived: now,
-            judged: !hopeless,
+            judged: !short,
             under: self.settings.clone(),
             ..Open::default()
         };
@@ -214,6 +219,8 @@
             worth = if now <= open.aim_at { 1.0 } else { late };
         }
         self.admission.ended(&open, worth);
+        let after = (o.status == Status::Ok).then(|| now.saturating_sub(open.arrived));
+        self.traffic.ended(&open, after);
         let out = open.attempts.iter().enumerate().filter(|(_, a)| a.pending && open.under.cancel);
         actions.extend(out.map(|(n, _)| Action::Cancel { id: o.id, attempt: n as u32 }));
     }
@@ -295,10 +302,18 @@
         true
     }
 
+    /// Takes note of a request that was not served.
+    pub(super) fn lost(&mut self, open: &Open) {
+        self.admission.ended(open, 0.0);
+        if open.end == End::Late && !open.attempts.is_empty() {
+            self.traffic.ended(open, None);
+        }
+    }
+
     /// The final answer when nothing more can be done: a refusal where it is true that a repeat does no harm.
     fn give_up(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
         let Some(open) = self.close(id) else { return };
-        self.admission.ended(&open, 0.0);
+        self.lost(&open);
         let class = self.settings.classes.get(open.class);
         let past =
             now >= open.aim_at && !open.attempts.is_empty() && class.is_some_and(|c| c.late_value <= 0.0);
--- a/crates/decision/src/logic/traffic.rs
+++ b/crates/decision/src/logic/traffic.rs
@@ -1,6 +1,7 @@
 //! What passes on the whole: how much comes and is served, how long each class takes, what may be repeated.
 
 use super::*;
+use std::cmp::Ordering;
 
 /// Memory of traffic counts, in seconds.
 pub const MEMORY_S: f64 = 16.0;
@@ -11,29 +12,11 @@
 const BUDGET: f64 = 0.3;
 const BUDGET_MOST: f64 = 10.0;
 
-/// What is known of a class's answers.
-#[derive(Clone, Default)]
-pub struct Seen {
-    pub mean: f64,
-    pub spread: f64,
-    pub count: f64,
-    /// The time left that most tries have, and how surely.
-    common_left: Nanos,
-    votes: u32,
-}
-
-impl Seen {
-    /// The longest that passes for usual.
-    pub fn most(&self) -> f64 {
-        self.mean + 2.0 * self.spread
-    }
-}
-
 /// Counts over all requests.
 #[derive(Default)]
 pub struct Traffic {
     pub settings: Arc<Settings>,
-    pub seen: Vec<Seen>,
+    pub seen: Vec<Times>,
     pub count: Fading,
     pub started: Option<Nanos>,
     /// What all have earned, and behind that each tenant.
@@ -43,7 +26,7 @@
 
 impl Traffic {
     pub fn new(settings: Arc<Settings>) -> Self {
-        let seen = vec![Seen::default(); settings.classes.len()];
+        let seen = vec![Times::default(); settings.classes.len()];
         let budgets = vec![1.0; 1 + settings.tenants.len()];
         Traffic { settings, seen, budgets, ..Traffic::default() }
     }
@@ -81,38 +64,41 @@
         self.served.sum / SERVED_S + 1.0
     }
 
-    pub fn usual(&self, class: usize) -> Seen {
+    pub fn usual(&self, class: usize) -> Times {
         self.seen.get(class).cloned().unwrap_or_default()
     }
 
     pub fn served(&mut self, now: Nanos, class: Option<usize>, elapsed: Nanos) {
         self.served.add(now, SERVED_S);
-        let Some(seen) = class.and_then(|c| self.seen.get_mut(c)) else { return };
-        seen.count += 1.0;
-        let gain = (1.0 / seen.count).max(0.03);
-        let off = elapsed as f64 - seen.mean;
-        seen.mean += gain * off;
-        seen.spread += gain * (off.abs() - seen.spread);
+        class.and_then(|c| self.seen.get_mut(c)).into_iter().for_each(|seen| seen.answered(elapsed));
     }
 
-    /// The time to a request's aim. Most tries are first ones and given alike long; any other time left dates
-    /// the request's beginning.
+    /// A request that was sent has ended, served after a time or not.
+    pub fn ended(&mut self, open: &Open, served: Option<Nanos>) {
+        if let (Some(class), Some(seen)) =
+            (self.settings.classes.get(open.class), self.seen.get_mut(open.class))
+        {
+            seen.waited(class, open.aim_at.saturating_sub(open.arrived), served);
+        }
+    }
+
+    /// The time to a request's aim. A time left that is longer than what clients give a try is the rest of a
+    /// wait, and dates the request's beginning; so is a shorter one that is marked as a repeat's.
     pub fn aim_left(&mut self, r: &Request, class: &Class) -> Nanos {
-        let (index, remaining) = (r.class as usize, r.remaining);
-        let aim = class.aim.min(remaining);
-        // Danger: clients who come with little time left are no late repeats; where marks tell, these count.
-        let first = self.settings.marks_retry && !r.retry;
-        let Some(seen) = self.seen.get_mut(index) else { return aim };
-        if seen.common_left.abs_diff(remaining) < class.deadline / 40 {
-            seen.votes = (seen.votes + 1).min(50);
-        } else if seen.votes == 0 {
-            seen.common_left = remaining;
+        let aim = class.aim.min(r.remaining);
+        let Some(seen) = self.seen.get_mut(r.class as usize) else { return aim };
+        seen.came(class, r.remaining);
+        let dated = match seen.against_shared(class, r.remaining) {
+            Ordering::Greater => !self.settings.marks_retry || r.retry,
+            // Danger: clients who come with little time left are no late repeats, but where marks tell.
+            Ordering::Less => self.settings.marks_retry && r.retry,
+            Ordering::Equal => false,
+        };
+        let gone = class.deadline.saturating_sub(r.remaining);
+        if dated {
+            aim.min(class.aim.saturating_sub(gone))
         } else {
-            seen.votes -= 1;
-        }
-        if !first && seen.common_left.abs_diff(remaining) >= class.deadline / 40 {
-            return aim.min(class.aim.saturating_sub(class.deadline.saturating_sub(remaining)));
+            aim
         }
-        aim
     }
 }
