Play whole fleets in simulated time: 300 modules over the model of the site

Change: `aniseyoke-lab sim`: a discrete-event loop without sockets that hosts the real decision module for each proxy over the model that the trials on sockets use, which now reports its nodes' load. Clients with advice, haste and leaving; outcomes by cause and second; rules counted; seeds side by side.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,6 +1,7 @@
 //! What can be asked of the laboratory.
 
 mod keeper;
+mod sim;
 mod versions;
 
 use aniseyoke_lab::audit::Recorder;
@@ -35,6 +36,8 @@
     Compare(Compare),
     /// Play a day at several multiples of its rate, before one or more builds, and plot goodput against load.
     Sweep(Sweep),
+    /// Play a day in simulated time, with the decision module of each proxy of a whole fleet.
+    Sim(sim::Simulate),
     /// Publish versions of the configuration to a fleet of real proxies, and measure what they take.
     Versions(versions::Versions),
     /// Serve as a memcached server of the binary protocol until Ctrl-C, for client libraries of others.
@@ -179,6 +182,7 @@
         Command::Compare(args) => compare(&args),
         Command::Sweep(args) => sweep(&args),
         Command::Keeper(args) => keeper::run(&args),
+        Command::Sim(args) => sim::run(&args),
         Command::Versions(args) => versions::run(&args),
         Command::Site(args) => stand(&args),
         Command::Load(args) => send(&args),
--- /dev/null
+++ b/crates/lab/src/cli/sim.rs
@@ -0,0 +1,90 @@
+//! `sim`: a day in simulated time.
+
+use super::Which;
+use aniseyoke_lab::sim::{Counts, Options, Sim};
+use clap::Args;
+use rayon::prelude::*;
+use std::time::{Duration, Instant};
+
+/// A day in simulated time.
+#[derive(Args)]
+pub struct Simulate {
+    #[command(flatten)]
+    which: Which,
+    /// Proxies; the day's own number otherwise.
+    #[arg(long)]
+    proxies: Option<usize>,
+    /// Cache nodes; the day's own number otherwise. What is asked and what the ledger bears go with it.
+    #[arg(long)]
+    nodes: Option<usize>,
+    /// Seeds to play, one after the other number from the day's on; side by side on all cores.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// For how long the load runs before what is reported, so that caches fill.
+    #[arg(long, default_value = "30s", value_parser = humantime::parse_duration)]
+    warm: Duration,
+    /// How unevenly clients are spread over proxies; 0: evenly.
+    #[arg(long, default_value_t = 0.6)]
+    uneven: f64,
+    /// Seconds in a line of the table.
+    #[arg(long, default_value_t = 1)]
+    step: usize,
+    /// Write the seconds and sums of each seed there as JSON.
+    #[arg(long)]
+    json: Option<std::path::PathBuf>,
+}
+
+struct Played {
+    seed: u64,
+    counts: Counts,
+    took: Duration,
+}
+
+/// Plays it; whether no rule was broken.
+pub fn run(args: &Simulate) -> Result<bool, String> {
+    let day = args.which.open()?;
+    let (proxies, nodes) =
+        (args.proxies.unwrap_or(day.site.proxy.count), args.nodes.unwrap_or(day.site.cache.count));
+    let day = day.sized(proxies, nodes).map_err(|e| e.to_string())?;
+    let options = Options { warm: args.warm, uneven: args.uneven, crowd: None };
+    let started = Instant::now();
+    let play = |n: u64| {
+        let mut day = day.clone();
+        day.seed += n;
+        let start = Instant::now();
+        let counts = Sim::new(&day, options.clone()).run();
+        Played { seed: day.seed, counts, took: start.elapsed() }
+    };
+    let played: Vec<Played> = (0..args.seeds.max(1)).into_par_iter().map(play).collect();
+    for one in &played {
+        print(&day.name, one, args.step);
+    }
+    let events: u64 = played.iter().map(|p| p.counts.events).sum();
+    let seconds = started.elapsed().as_secs_f64();
+    println!(
+        "{events} events in {seconds:.1} s, {:.2} million a second; {proxies} proxies, {nodes} nodes",
+        events as f64 / seconds / 1e6
+    );
+    if let Some(path) = &args.json {
+        let all: Vec<_> = played.iter().map(|p| (p.seed, &p.counts.seconds)).collect();
+        let text = serde_json::to_string_pretty(&all).map_err(|e| e.to_string())?;
+        std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    Ok(played.iter().all(|p| !p.counts.broken()))
+}
+
+fn print(name: &str, played: &Played, step: usize) {
+    let c = &played.counts;
+    println!("day {name}, seed {}, {:.1} s", played.seed, played.took.as_secs_f64());
+    print!("{}", c.table(step));
+    let (served, all) = c.served();
+    println!("{served} of {all} requests served in time; goodput {:.3}", c.tally.all.goodput());
+    for row in &c.tally.classes {
+        println!("  {:<14} goodput {:.3}", row.name, row.goodput());
+    }
+    println!(
+        "rules: {} cold nodes fell, {} stops of the ledger, {} ran twice, {} sends after a drain, {} second answers",
+        c.fell, c.stopped, c.ran_twice, c.drains_broken, c.answered_twice
+    );
+    println!("{} attempts over connections that had carried one", c.reused);
+}
--- a/crates/lab/src/day/builtin.rs
+++ b/crates/lab/src/day/builtin.rs
@@ -1,7 +1,7 @@
 //! The days that come with the laboratory.
 
 /// Name and text of each.
-pub const BUILTIN: [(&str, &str); 9] = [
+pub const BUILTIN: [(&str, &str); 10] = [
     ("quiet", include_str!("../../days/quiet.toml")),
     ("deploy", include_str!("../../days/deploy.toml")),
     ("silence", include_str!("../../days/silence.toml")),
@@ -10,6 +10,7 @@
     ("rough", include_str!("../../days/rough.toml")),
     ("stall", include_str!("../../days/stall.toml")),
     ("roll", include_str!("../../days/roll.toml")),
+    ("join", include_str!("../../days/join.toml")),
     ("plain", include_str!("../../days/plain.toml")),
 ];
 
--- a/crates/lab/src/day/check.rs
+++ b/crates/lab/src/day/check.rs
@@ -7,7 +7,7 @@
 const LENGTH_MOST: Duration = Duration::from_secs(3600);
 const RATE_MOST: f64 = 200_000.0;
 const NODES_MOST: usize = 512;
-const PROXIES_MOST: usize = 64;
+const PROXIES_MOST: usize = 1024;
 const KEYS_MOST: u64 = 10_000_000;
 const IDLE_MOST: usize = 8_192;
 const TROUBLES_MOST: usize = 256;
@@ -148,6 +148,11 @@
     f.part(load.retries.try_part, "load.retries.try_part");
     f.positive(load.retries.try_part, "load.retries.try_part");
     f.unless(load.rude.idle <= IDLE_MOST, "load.rude.idle", format_args!("is over {IDLE_MOST}"));
+    if let Some(hasty) = &load.hasty {
+        f.part(hasty.part, "load.hasty.part");
+        f.unless(hasty.again <= 10, "load.hasty.again", "is over 10");
+        f.unless(!hasty.patience.is_zero(), "load.hasty.try", "is 0");
+    }
     let rude = &load.rude;
     for (part, name) in [
         (rude.slow_readers, "slow_readers"),
--- a/crates/lab/src/day/mod.rs
+++ b/crates/lab/src/day/mod.rs
@@ -8,7 +8,7 @@
 mod tests;
 
 pub use builtin::{builtin, BUILTIN};
-pub use settings::{proxy_config, Member};
+pub use settings::{module_settings, proxy_config, Member};
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -267,6 +267,28 @@
     /// Clients on poor links and worse.
     #[serde(default)]
     pub rude: Rude,
+    /// Clients that lose patience for a while.
+    #[serde(default)]
+    pub hasty: Option<Hasty>,
+}
+
+/// Clients that give each try little time for a while, and come again at once.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hasty {
+    /// From when their requests are due.
+    #[serde(with = "humantime_serde")]
+    pub at: Duration,
+    /// For how long.
+    #[serde(with = "humantime_serde", rename = "for")]
+    pub length: Duration,
+    /// The part of the clients that is so.
+    pub part: f64,
+    /// The time that they give a try.
+    #[serde(rename = "try", with = "humantime_serde")]
+    pub patience: Duration,
+    /// Tries after the first.
+    pub again: u32,
 }
 
 fn period() -> Duration {
@@ -482,6 +504,26 @@
         }
     }
 
+    /// The same day with so many proxies and nodes; what is asked and what the ledger bears go with the nodes.
+    ///
+    /// # Errors
+    /// As [`Day::open`].
+    pub fn sized(mut self, proxies: usize, nodes: usize) -> Result<Day, DayError> {
+        let by = nodes as f64 / self.site.cache.count as f64;
+        self.site.proxy.count = proxies;
+        self.site.cache.count = nodes;
+        self.load.rate *= by;
+        self.load.keys = ((self.load.keys as f64 * by) as u64).max(1);
+        self.site.cache.memory = (self.site.cache.memory / by).min(1.0);
+        self.site.ledger.cores *= by;
+        self.site.ledger.slots = (self.site.ledger.slots as f64 * by).ceil() as usize;
+        self.site.ledger.room = (self.site.ledger.room as f64 * by).ceil() as usize;
+        match check::faults(&self) {
+            faults if faults.is_empty() => Ok(self),
+            faults => Err(DayError { file: self.name, faults }),
+        }
+    }
+
     /// The same day squeezed to a part of its length, troubles and all.
     pub fn squeezed(mut self, part: f64) -> Day {
         self.length = self.length.mul_f64(part);
@@ -489,6 +531,10 @@
             trouble.at = trouble.at.mul_f64(part);
             trouble.length = trouble.length.mul_f64(part);
         }
+        if let Some(hasty) = &mut self.load.hasty {
+            hasty.at = hasty.at.mul_f64(part);
+            hasty.length = hasty.length.mul_f64(part);
+        }
         self
     }
 }
--- a/crates/lab/src/day/settings.rs
+++ b/crates/lab/src/day/settings.rs
@@ -2,9 +2,13 @@
 
 use super::{Day, Effect};
 use crate::clock::nanos;
+use aniseyoke_decision::api::{self, Settings};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 
+/// A tenant's share over what it is expected to send.
+const SHARE_ROOM: f64 = 1.3;
+
 /// A member in discovery's form.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -42,7 +46,7 @@
     };
     let classes: Vec<Value> = day.load.classes.iter().map(class).collect();
     // The quota is what its share of a fleet with some room to spare comes to.
-    let quota = |share: f64| day.load.rate * share * 1.3;
+    let quota = |share: f64| day.load.rate * share * SHARE_ROOM;
     let tenants: Vec<Value> = (day.load.tenants.iter())
         .map(|t| json!({"name": t.name, "quota_rps": quota(t.share), "fraction": t.share}))
         .collect();
@@ -67,3 +71,44 @@
         }
     })
 }
+
+/// The same in the module's own terms, for a proxy in simulated time. Its nodes report their load.
+pub fn module_settings(day: &Day, me: usize) -> Settings {
+    let class = |c: &super::Class| api::Class {
+        aim: nanos(c.aim),
+        deadline: nanos(c.give_up),
+        effect: match c.effect {
+            Effect::Safe => api::Effect::Safe,
+            Effect::Keyed => api::Effect::Keyed,
+            Effect::Unsafe => api::Effect::Unsafe,
+        },
+        dedup_window: nanos(day.site.ledger.repeats),
+        worth: c.worth,
+        ..api::Class::default()
+    };
+    let tenant = |t: &super::Tenant| api::Tenant { quota_rps: day.load.rate * t.share * SHARE_ROOM };
+    let cache = &day.site.cache;
+    Settings {
+        classes: day.load.classes.iter().map(class).collect(),
+        tenants: day.load.tenants.iter().map(tenant).collect(),
+        proxies: day.site.proxy.count as u32,
+        me: me as u32,
+        must_ask: true,
+        aside: true,
+        origin_kind: Some(cache.kinds.len() as u32),
+        over_share_worth: 0.05,
+        worth_by_work: true,
+        max_attempts: 4,
+        cancel: true,
+        second_copies: true,
+        max_retry_after: 2_000_000_000,
+        conn_idle: 30_000_000_000,
+        handshake_price: 0.02,
+        cold_from: cache.cold_from,
+        cold: nanos(cache.cold),
+        fall_multiple: cache.fall_multiple,
+        fall: nanos(cache.fall),
+        must_ask_in: nanos(day.site.roster.must_ask_in),
+        ..Settings::default()
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`audit`]: what clients sent and got and what nodes received, held against the rules.
 //! - [`trial`]: one day from start to end: site, subjects, load, audit, report.
 //! - [`fleet`]: many real proxies behind one control service.
+//! - [`sim`]: whole fleets in simulated time, with the real decision module.
 //! - [`keeper`]: what a memcached server does with its values.
 //! - [`floor`]: a bare pass-through, the least that any proxy costs.
 #![forbid(unsafe_code)]
@@ -19,6 +20,7 @@
 pub mod floor;
 pub mod keeper;
 pub mod load;
+pub mod sim;
 pub mod site;
 pub mod trial;
 pub mod world;
--- a/crates/lab/src/load/client.rs
+++ b/crates/lab/src/load/client.rs
@@ -94,14 +94,14 @@
         let class = &self.day.load.classes[arrival.class];
         let give_up = arrival.due + nanos(class.give_up);
         let mut outcome = Outcome::Unreachable;
-        for number in 0..=self.day.load.retries.most {
+        let (most, _) = plan::patience(&self.day, &arrival, 0);
+        for number in 0..=most {
             let now = self.clock.now();
             let left = give_up.saturating_sub(now);
             if left < 5 * MS {
                 break;
             }
-            let try_part = self.day.load.retries.try_part;
-            let patience = left.min((nanos(class.give_up) as f64 * try_part) as Nanos);
+            let (_, patience) = plan::patience(&self.day, &arrival, left);
             self.tally.borrow_mut().tries += 1;
             let ended = self.try_once(&arrival, class, number, patience).await;
             let wait;
@@ -124,8 +124,7 @@
 
     /// What an end means for the request, and how long the client waits before its next try.
     fn judge(&self, ended: Ended, class: &Class, arrival: &Arrival, number: u32) -> (Outcome, Duration) {
-        let backoff = self.day.load.retries.wait.mul_f64(f64::from(1u32 << number.min(10)));
-        let backoff = backoff.mul_f64(0.5 + 0.5 * plan::draw(&self.day, arrival, number));
+        let backoff = plan::again(&self.day, arrival, number, None);
         match ended {
             Ended::Answered { status: 200, .. } => {
                 let latency = self.clock.now().saturating_sub(arrival.due);
@@ -134,7 +133,7 @@
             }
             Ended::Answered { status: 429 | 503, retry_after } => {
                 let told = retry_after.filter(|_| arrival.heeds);
-                (Outcome::Refused, told.map_or(backoff, |told| told.max(backoff)))
+                (Outcome::Refused, plan::again(&self.day, arrival, number, told))
             }
             Ended::Answered { .. } => (Outcome::Failed, backoff),
             Ended::Unanswered => (Outcome::Unanswered, backoff),
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -6,6 +6,7 @@
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::{RngExt, SeedableRng};
 use rand_distr::{Distribution, Exp1};
+use std::time::Duration;
 
 /// How a client behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +42,8 @@
     pub manner: Manner,
     /// Its client heeds `Retry-After`.
     pub heeds: bool,
+    /// Its client gives each try little time, and comes again at once.
+    pub hasty: bool,
 }
 
 /// All arrivals of a day, in order.
@@ -50,13 +53,20 @@
     rng: Xoshiro256PlusPlus,
     number: u64,
     at: f64,
+    /// The day itself begins so long after the first arrivals.
+    warm: Nanos,
 }
 
 impl Plan {
     /// The plan of a day.
     pub fn new(day: &Day) -> Self {
+        Plan::warmed(day, Duration::ZERO)
+    }
+
+    /// The plan of a day before which its load runs for a while; times are counted from the start of that.
+    pub fn warmed(day: &Day, warm: Duration) -> Self {
         let rng = Xoshiro256PlusPlus::seed_from_u64(mix(day.seed, 0x10ad, 0));
-        Plan { day: day.clone(), catalogue: Catalogue::new(day), rng, number: 0, at: 0.0 }
+        Plan { day: day.clone(), catalogue: Catalogue::new(day), rng, number: 0, at: 0.0, warm: nanos(warm) }
     }
 
     /// The rate at a time, in arrivals a nanosecond.
@@ -106,7 +116,7 @@
         loop {
             let gap: f64 = Exp1.sample(&mut self.rng);
             self.at += gap / most;
-            if self.at >= nanos(self.day.length) as f64 {
+            if self.at >= (self.warm + nanos(self.day.length)) as f64 {
                 return None;
             }
             if self.rng.random::<f64>() * most <= self.rate(self.at) {
@@ -128,6 +138,11 @@
             body: body as usize,
             manner: manner(self.rng.random(), &load.rude),
             heeds: self.rng.random_bool(load.retries.heed),
+            hasty: load.hasty.as_ref().is_some_and(|hasty| {
+                let from = self.warm + nanos(hasty.at);
+                (from..from + nanos(hasty.length)).contains(&(self.at as Nanos))
+                    && part(mix(self.day.seed, 0x4a57, self.number)) < hasty.part
+            }),
         };
         self.number += 1;
         Some(arrival)
@@ -144,6 +159,31 @@
     part(mix(day.seed ^ 0xd4a3, arrival.number, u64::from(try_number)))
 }
 
+/// A hasty client's wait before it comes again.
+const AT_ONCE: Duration = Duration::from_millis(2);
+
+/// How long a client waits after a bad answer before its next try; `told`: the advice that it heeds.
+pub fn again(day: &Day, arrival: &Arrival, try_number: u32, told: Option<Duration>) -> Duration {
+    if arrival.hasty {
+        return AT_ONCE;
+    }
+    let backoff = day.load.retries.wait.mul_f64(f64::from(1u32 << try_number.min(10)));
+    let backoff = backoff.mul_f64(0.5 + 0.5 * draw(day, arrival, try_number));
+    told.map_or(backoff, |told| told.max(backoff))
+}
+
+/// How often a client may come again, and how long it waits for one try when so much of its time is left.
+pub fn patience(day: &Day, arrival: &Arrival, left: Nanos) -> (u32, Nanos) {
+    let retries = &day.load.retries;
+    match day.load.hasty.as_ref().filter(|_| arrival.hasty) {
+        Some(hasty) => (hasty.again, left.min(nanos(hasty.patience))),
+        None => {
+            let give_up = nanos(day.load.classes[arrival.class].give_up) as f64;
+            (retries.most, left.min((give_up * retries.try_part) as Nanos))
+        }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/lab/src/sim/host.rs
@@ -0,0 +1,133 @@
+//! One proxy: the decision module and what the core keeps beside it, for simulated time.
+
+use crate::clock::{Nanos, MS, SECOND};
+use crate::day::{module_settings, Day};
+use aniseyoke_decision::api::{Action, Event, RequestId, ServerId, State, Status};
+use aniseyoke_decision::Balancer;
+use rustc_hash::FxHashMap;
+
+/// What of a client's time is kept for the way here and back.
+fn margin(patience: Nanos) -> Nanos {
+    (10 * MS).min(patience / 12)
+}
+
+/// An attempt as its proxy sees it.
+pub struct Attempt {
+    pub server: ServerId,
+    pub ticket: u64,
+    pub sent: Nanos,
+    pub over: bool,
+}
+
+/// A request that its proxy has taken.
+pub struct Pending {
+    /// The client's place, and which of its tries this is.
+    pub client: u32,
+    pub try_number: u32,
+    pub arrived: Nanos,
+    pub deadline: Nanos,
+    pub class: usize,
+    /// It has had its final answer.
+    pub answered: bool,
+    pub attempts: Vec<Attempt>,
+    /// How its last attempt to end did so, and whether that was at the ledger.
+    pub last: Option<(Status, bool)>,
+}
+
+/// A proxy.
+pub struct Host {
+    pub balancer: Balancer,
+    pub pending: FxHashMap<RequestId, Pending>,
+    pub next: RequestId,
+    /// Idle connections to each server, by the time since which they are idle, and whether they carried two attempts.
+    pub idle: FxHashMap<ServerId, Vec<(Nanos, bool)>>,
+    /// Since when a server is told as draining or gone.
+    pub told: FxHashMap<ServerId, Nanos>,
+    /// The version of the list that it has.
+    pub version: u64,
+    pub subscribed: bool,
+    pub actions: Vec<Action>,
+}
+
+impl Host {
+    pub fn new(day: &Day, me: usize, seed: u64) -> Self {
+        Host {
+            balancer: Balancer::new(module_settings(day, me), seed),
+            pending: FxHashMap::default(),
+            next: 1,
+            idle: FxHashMap::default(),
+            told: FxHashMap::default(),
+            version: 0,
+            subscribed: false,
+            actions: Vec::new(),
+        }
+    }
+
+    /// Gives the module an event; what it says is left in `actions`.
+    pub fn feed(&mut self, now: Nanos, event: Event) {
+        if let Event::List { entries, .. } = &event {
+            for entry in entries {
+                if entry.state == State::Ready {
+                    self.told.remove(&entry.server);
+                } else {
+                    self.told.entry(entry.server).or_insert(now);
+                }
+            }
+        }
+        self.balancer.handle(now, event, &mut self.actions);
+    }
+
+    /// Takes a request: its number, and the time left as the module is told.
+    pub fn take(
+        &mut self,
+        now: Nanos,
+        client: u32,
+        try_number: u32,
+        class: usize,
+        patience: Nanos,
+    ) -> (RequestId, Nanos) {
+        let id = self.next;
+        self.next += 1;
+        let left = patience - margin(patience);
+        let pending = Pending {
+            client,
+            try_number,
+            arrived: now,
+            deadline: now + left,
+            class,
+            answered: false,
+            attempts: Vec::new(),
+            last: None,
+        };
+        self.pending.insert(id, pending);
+        (id, left)
+    }
+
+    /// How long a request that the module leaves unanswered is kept.
+    pub fn guard(patience: Nanos) -> Nanos {
+        patience - margin(patience) / 2
+    }
+
+    /// An idle connection to a server; none if one has to be opened.
+    pub fn connection(&mut self, now: Nanos, server: ServerId, idle: Nanos) -> Option<bool> {
+        let idles = self.idle.get_mut(&server)?;
+        while let Some((since, twice)) = idles.pop() {
+            if now.saturating_sub(since) < idle {
+                return Some(twice);
+            }
+        }
+        None
+    }
+
+    /// Whether a send to a server breaks the rule on drains.
+    pub fn breaks_drain(&self, now: Nanos, server: ServerId) -> bool {
+        self.told.get(&server).is_some_and(|at| now > at + 2 * SECOND + 50 * MS)
+    }
+
+    /// Drops a request that has had its answer and has no attempt out.
+    pub fn forget(&mut self, id: RequestId) {
+        if self.pending.get(&id).is_some_and(|p| p.answered && p.attempts.iter().all(|a| a.over)) {
+            self.pending.remove(&id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/mod.rs
@@ -0,0 +1,215 @@
+//! Simulated time: the real decision module, one instance for each proxy, over the model of the site, without sockets. Whole
+//! fleets of hundreds of proxies fit in one process, and a day follows from its file, seed and sizes alone.
+//!
+//! What is left out against a trial on sockets: the proxies' own cost in time, bytes and their pieces, the front's notice of dead
+//! proxies (none dies here), discovery's own load, limits that an operator's file sets, and what connections cost a node. A new
+//! connection costs a round trip.
+
+mod client;
+mod count;
+mod host;
+mod queue;
+mod run;
+#[cfg(test)]
+mod tests;
+
+pub use count::{Counts, Second, CAUSES};
+
+use crate::clock::{mix, nanos, part, Nanos, MS, SECOND};
+use crate::day::Day;
+use crate::load::Plan;
+use crate::world::{Catalogue, Effect, Ticket, World};
+use client::Asking;
+use host::Host;
+use queue::Queue;
+use rustc_hash::FxHashMap;
+use std::iter::Peekable;
+use std::time::Duration;
+
+/// How a day is played in simulated time.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// So long before what is reported the day's load runs with a ledger that has room for all, so that caches fill.
+    pub warm: Duration,
+    /// How unevenly clients are spread over the proxies: the sigma of a log-normal weight; 0: evenly.
+    pub uneven: f64,
+    /// Clients beside the day's own.
+    pub crowd: Option<Crowd>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Options { warm: Duration::from_secs(30), uneven: 0.6, crowd: None }
+    }
+}
+
+/// First tries beside the day's own, all of one tenant and class.
+#[derive(Clone, Debug)]
+pub struct Crowd {
+    /// From when, counted from the start of what is reported.
+    pub at: Duration,
+    /// For how long.
+    pub length: Duration,
+    /// A second, over all proxies.
+    pub rate: f64,
+    /// The part of the proxies that they come to.
+    pub proxies: f64,
+    /// The tenant, as the day numbers them.
+    pub tenant: usize,
+    /// They come again by themselves this often after a bad answer, at once and heeding no advice.
+    pub again: u32,
+}
+
+/// The ledger is so many times as quick while caches fill.
+const QUICK: f64 = 20.0;
+/// The way between any two machines, at least and at most.
+const WAY: (Nanos, Nanos) = (MS / 5, MS / 2);
+/// A connection that nobody answers is given up after this time.
+const CONNECT_WITHIN: Nanos = 250 * MS;
+/// Proxies differ in what clients send them by at most this factor from the mean.
+const UNEVEN_MOST: f64 = 6.0;
+
+/// What will happen at a time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Happening {
+    /// The next first try is due.
+    Due,
+    /// One of the crowd is due.
+    Crowd,
+    /// The model has something due.
+    World,
+    /// The load of the reported part begins.
+    Begin,
+    /// A client asks: a place in the table of clients.
+    Try(u32),
+    /// A client leaves before its answer: its place and which try.
+    Leave(u32, u32),
+    /// A proxy's request has run out of time.
+    Guard(u32, u64),
+    /// A proxy's timer.
+    Timer(u32, u64),
+    /// A proxy's attempt reaches its node: ticket.
+    Reach(Ticket),
+    /// A proxy's attempt has ended, as its proxy sees it.
+    Back(Ticket, Back),
+    /// A proxy waits no longer for an attempt.
+    Over(Ticket),
+    /// A proxy hears of a change of the list: the version to which it is brought.
+    Told(u32),
+}
+
+/// What comes back of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Back {
+    Served { hit: bool },
+    Miss,
+    Error,
+    Full,
+    Unreached,
+    Reset,
+}
+
+/// One attempt that is out.
+struct Out {
+    proxy: u32,
+    request: u64,
+    number: u32,
+    member: usize,
+    /// Over a connection that was opened for it.
+    fresh: bool,
+    reached: bool,
+    ledger: bool,
+}
+
+/// A day in simulated time.
+pub struct Sim {
+    day: Day,
+    options: Options,
+    catalogue: Catalogue,
+    world: World,
+    plan: Peekable<Plan>,
+    queue: Queue,
+    now: Nanos,
+    /// When what is reported begins.
+    from: Nanos,
+    hosts: Vec<Host>,
+    /// Sums of the proxies' weights, by which clients are dealt.
+    weights: Vec<f64>,
+    asking: Vec<Asking>,
+    free: Vec<u32>,
+    crowd: u64,
+    out: FxHashMap<Ticket, Out>,
+    tickets: Ticket,
+    draws: u64,
+    runs: FxHashMap<u64, u32>,
+    /// Members by the id that the module knows them by.
+    named: FxHashMap<u64, usize>,
+    /// For when the model was last put into the queue.
+    world_due: Option<Nanos>,
+    effects: Vec<Effect>,
+    /// What was counted.
+    pub counts: Counts,
+}
+
+impl Sim {
+    /// A day before it begins, its proxies and nodes as the day's file has them.
+    pub fn new(day: &Day, options: Options) -> Self {
+        let warm = nanos(options.warm);
+        let catalogue = Catalogue::new(day);
+        let mut world = World::new(day, &catalogue);
+        world.empty();
+        let hosts = (0..day.site.proxy.count).map(|me| Host::new(day, me, mix(day.seed, 0x5eed, me as u64)));
+        let hosts: Vec<Host> = hosts.collect();
+        let mut sum = 0.0;
+        let weights = (0..hosts.len()).map(|p| {
+            let drawn: f64 = (0..12).map(|n| part(mix(day.seed, 0x0e7e + n, p as u64))).sum::<f64>() - 6.0;
+            sum += (options.uneven * drawn).exp().clamp(1.0 / UNEVEN_MOST, UNEVEN_MOST);
+            sum
+        });
+        let weights = weights.collect();
+        let mut sim = Sim {
+            plan: Plan::warmed(day, options.warm).peekable(),
+            counts: Counts::new(day),
+            day: day.clone(),
+            catalogue,
+            world,
+            queue: Queue::default(),
+            now: 0,
+            from: warm,
+            hosts,
+            weights,
+            asking: Vec::new(),
+            free: Vec::new(),
+            crowd: 0,
+            out: FxHashMap::default(),
+            tickets: 0,
+            draws: 0,
+            runs: FxHashMap::default(),
+            named: FxHashMap::default(),
+            world_due: None,
+            effects: Vec::new(),
+            options,
+        };
+        sim.open();
+        sim
+    }
+
+    /// A number in [0, 1) that follows from the seed and from how many were drawn before.
+    fn draw(&mut self) -> f64 {
+        self.draws += 1;
+        part(mix(self.day.seed, 0xd4a5, self.draws))
+    }
+
+    fn way(&mut self) -> Nanos {
+        WAY.0 + ((WAY.1 - WAY.0) as f64 * self.draw()) as Nanos
+    }
+
+    fn later(&mut self, delay: Nanos, happening: Happening) {
+        self.queue.push(self.now.saturating_add(delay), happening);
+    }
+
+    /// The second of the reported part in which something happens; none before it.
+    fn second(&self, at: Nanos) -> Option<usize> {
+        Some((at.checked_sub(self.from)? / SECOND) as usize)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/sim/tests.rs
@@ -0,0 +1,112 @@
+use super::*;
+use crate::load::Outcome;
+
+const WARM: Duration = Duration::from_secs(8);
+
+/// A small day without troubles.
+fn still(proxies: usize, nodes: usize, seconds: u64) -> Day {
+    let mut day = Day::open("join").expect("built in").sized(proxies, nodes).expect("sound");
+    (day.troubles, day.load.hasty) = (Vec::new(), None);
+    day.length = Duration::from_secs(seconds);
+    day
+}
+
+fn play(day: &Day, crowd: Option<Crowd>) -> Counts {
+    let counts = Sim::new(day, Options { warm: WARM, crowd, ..Options::default() }).run();
+    assert!(!counts.broken(), "a rule was broken: {:?}", (counts.fell, counts.stopped, counts.ran_twice));
+    counts
+}
+
+fn sum(counts: &Counts, of: impl Fn(&Second) -> u64) -> u64 {
+    counts.seconds.iter().map(of).sum()
+}
+
+#[test]
+fn a_day_is_the_same_each_time_and_another_by_another_seed() {
+    let mut day = still(20, 10, 4);
+    let first = play(&day, None);
+    assert_eq!(first.seconds, play(&day, None).seconds);
+    day.seed += 1;
+    assert_ne!(first.seconds, play(&day, None).seconds);
+}
+
+#[test]
+fn every_try_ends_once_with_one_cause() {
+    let mut day = Day::open("join").expect("built in").sized(60, 30).expect("sound").squeezed(0.4);
+    day.load.rude.leave_waiting = 0.1;
+    let counts = play(&day, None);
+    let (tries, ended) = (sum(&counts, |s| s.tries), sum(&counts, |s| s.causes.iter().sum()));
+    assert_eq!(tries, ended);
+    assert_eq!(sum(&counts, |s| s.first), counts.tally.all.requests());
+    assert!(counts.tally.all.count(Outcome::Left) > 0, "who leaves is counted");
+    assert!(sum(&counts, |s| s.sent[1]) > 0, "cold nodes are asked");
+}
+
+/// Danger: tries of clients that lose patience had usual ones refused unsent, in the whole fleet at once.
+#[test]
+fn a_release_among_hasty_clients_leaves_most_usual_ones_served() {
+    let day = Day::open("join").expect("built in").sized(60, 40).expect("sound").squeezed(0.5);
+    let counts = play(&day, None);
+    let storm = counts.goodput(3..8);
+    assert!(storm > 0.8, "{storm} of the worth in the release");
+    assert!(counts.goodput(9..12) > 0.93, "{} after it", counts.goodput(9..12));
+}
+
+#[test]
+fn refused_clients_that_come_again_at_once_cost_no_more_than_the_nodes_lack() {
+    let day = still(40, 20, 14);
+    let crowd = Crowd {
+        at: Duration::from_secs(3),
+        length: Duration::from_secs(5),
+        rate: 2.0 * day.load.rate,
+        proxies: 1.0,
+        tenant: 0,
+        again: 5,
+    };
+    let counts = play(&day, Some(crowd));
+    let (before, during, after) = (counts.goodput(0..3), counts.goodput(4..8), counts.goodput(10..14));
+    // Three times what they bear comes as first tries: a third of it fits, and refusing costs some of that.
+    assert!(before > 0.9 && during > 0.25, "{before}, then {during}");
+    assert!(after > 0.95, "{after} two seconds after they stopped");
+}
+
+#[test]
+fn a_tenant_far_over_its_share_at_a_tenth_of_the_proxies_leaves_the_others_theirs() {
+    let day = still(40, 20, 10);
+    let crowd = Crowd {
+        at: Duration::from_secs(2),
+        length: Duration::from_secs(6),
+        rate: 20.0 * day.load.tenants[2].share * day.load.rate / 10.0,
+        proxies: 0.1,
+        tenant: 2,
+        again: 2,
+    };
+    let counts = play(&day, Some(crowd));
+    for tenant in &counts.tally.tenants[..2] {
+        assert!(tenant.goodput() > 0.9, "{}: {}", tenant.name, tenant.goodput());
+    }
+}
+
+#[test]
+fn clients_that_leave_just_before_their_answer_do_not_move_admission() {
+    let mut day = still(40, 20, 8);
+    day.load.rude.leave_waiting = 0.4;
+    let counts = play(&day, None);
+    let unsent = sum(&counts, |s| s.causes[3]) as f64 / sum(&counts, |s| s.tries) as f64;
+    assert!(unsent < 0.02, "{unsent} refused unsent");
+    assert!(counts.tally.all.goodput() > 0.95, "{}", counts.tally.all.goodput());
+}
+
+#[test]
+fn thin_proxies_and_one_with_much_serve_alike_where_nothing_is_wrong() {
+    // 300 requests a second: one at each of 300 proxies, or nearly all of them at a few.
+    for uneven in [0.0, 3.0] {
+        let mut day = still(300, 12, 10);
+        day.load.rate = 300.0;
+        let warm = Duration::from_secs(20);
+        let counts = Sim::new(&day, Options { warm, uneven, crowd: None }).run();
+        assert!(!counts.broken());
+        let goodput = counts.goodput(4..10);
+        assert!(goodput > 0.9, "{goodput} at unevenness {uneven}");
+    }
+}
--- a/crates/lab/src/world/machine.rs
+++ b/crates/lab/src/world/machine.rs
@@ -31,6 +31,9 @@
     pub falls_warm: bool,
 }
 
+/// A node tells of its load anew after this time.
+const REPORT_EVERY: Nanos = 250 * crate::clock::MS;
+
 /// What has become of new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admitted {
@@ -55,6 +58,9 @@
     /// What slows it now.
     slowed: f64,
     window: Window,
+    /// Its last report: when, the busy time and the work done by then, and what was told.
+    report: (Nanos, f64, u64, Option<(f64, f64)>),
+    done: u64,
     /// Counts what makes an earlier forecast of its next event void.
     pub forecast: u64,
 }
@@ -63,7 +69,17 @@
     /// A machine that has been running for long.
     pub fn new(spec: Spec) -> Self {
         let (share, window) = (Share::new(spec.cores, spec.speed), Window::new(spec.fall));
-        Machine { spec, share, queue: VecDeque::new(), born: None, slowed: 1.0, window, forecast: 0 }
+        Machine {
+            spec,
+            share,
+            queue: VecDeque::new(),
+            born: None,
+            slowed: 1.0,
+            window,
+            report: (0, 0.0, 0, None),
+            done: 0,
+            forecast: 0,
+        }
     }
 
     /// The process starts anew, cold and empty.
@@ -91,6 +107,21 @@
         self.spec.cores * self.spec.speed * warmth(age, self.spec.cold, self.spec.cold_from)
     }
 
+    /// The part of its cores that was busy lately, and requests done a second: taken anew each [`REPORT_EVERY`].
+    pub fn report(&mut self, now: Nanos) -> Option<(f64, f64)> {
+        let (at, busy, done, told) = self.report;
+        let span = now.saturating_sub(at);
+        if span < REPORT_EVERY {
+            return told;
+        }
+        let (busy_now, done_now) = (self.share.busy(now), self.done);
+        let seconds = span as f64 / crate::clock::SECOND as f64;
+        let part = (busy_now - busy) / span as f64 / self.spec.cores;
+        let told = Some((part.clamp(0.0, 1.0), (done_now - done) as f64 / seconds));
+        self.report = (now, busy_now, done_now, told);
+        told
+    }
+
     /// Runs at this part of its speed from now on.
     pub fn slow(&mut self, now: Nanos, part: f64) {
         self.slowed = part;
@@ -145,6 +176,7 @@
     /// Takes work that is done; `begun` is told of what begins in its place.
     pub fn take_done(&mut self, now: Nanos, mut begun: impl FnMut(Ticket)) -> Option<Ticket> {
         let done = self.share.take_done(now)?;
+        self.done += 1;
         if let Some((ticket, work)) = self.queue.pop_front() {
             self.share.begin(now, ticket, work);
             begun(ticket);
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -20,6 +20,7 @@
 
 use crate::clock::{mix, nanos, Nanos};
 use crate::day::Day;
+use aniseyoke_decision::api::Load;
 use machine::{Admitted, Machine, Spec};
 use memory::Memory;
 use std::cmp::Reverse;
@@ -216,6 +217,24 @@
         world
     }
 
+    /// Empties every node's memory, for a driver that warms them by load of its own.
+    pub fn empty(&mut self) {
+        self.members.iter_mut().for_each(|m| m.memory.clear());
+    }
+
+    /// Has the ledger work so many times as quick from now on, while caches are warmed.
+    pub fn quicken_ledger(&mut self, now: Nanos, times: f64) {
+        let ledger = self.ledger;
+        self.members[ledger].machine.slow(now, times);
+        self.forecast(now, ledger);
+    }
+
+    /// What a node says of its load.
+    pub fn load(&mut self, now: Nanos, member: usize) -> Option<Load> {
+        let (busy, rate) = self.members[member].machine.report(now)?;
+        Load::new(busy, rate)
+    }
+
     /// The day begins: troubles strike at their times from here on.
     pub fn begin(&mut self, now: Nanos) {
         for n in 0..self.strokes.len() {
--- a/crates/lab/src/world/share.rs
+++ b/crates/lab/src/world/share.rs
@@ -15,6 +15,8 @@
     speed: f64,
     /// Service for each piece so far, in nanoseconds of work.
     served: f64,
+    /// Time that cores were busy, in nanoseconds.
+    busy: f64,
     last: Nanos,
     /// Marks and pieces.
     marks: BinaryHeap<Reverse<(u64, u64)>>,
@@ -23,7 +25,7 @@
 impl Share {
     /// So many cores of this speed.
     pub fn new(cores: f64, speed: f64) -> Self {
-        Share { cores, speed, served: 0.0, last: 0, marks: BinaryHeap::new() }
+        Share { cores, speed, served: 0.0, busy: 0.0, last: 0, marks: BinaryHeap::new() }
     }
 
     /// Pieces in progress.
@@ -37,11 +39,19 @@
 
     fn advance(&mut self, now: Nanos) {
         if !self.marks.is_empty() {
-            self.served += now.saturating_sub(self.last) as f64 * self.rate();
+            let span = now.saturating_sub(self.last) as f64;
+            self.served += span * self.rate();
+            self.busy += span * self.cores.min(self.marks.len() as f64);
         }
         self.last = now;
     }
 
+    /// Time that cores have been busy so far, in nanoseconds.
+    pub fn busy(&mut self, now: Nanos) -> f64 {
+        self.advance(now);
+        self.busy
+    }
+
     /// From now on a core has this speed.
     pub fn set_speed(&mut self, now: Nanos, speed: f64) {
         self.advance(now);
