Tell the part of the refused that would be taken to come back soon, the rest to stay away

Change: a refused client is told to come back soon by the chance that it would be taken, else to stay away.

--- a/crates/decision/src/logic/admission.rs
+++ b/crates/decision/src/logic/admission.rs
@@ -56,9 +56,9 @@
         Admission { settings, taken: 1.0, extra: 1.0, shares, ..Admission::default() }
     }
 
-    /// Whether some tries are refused unsent.
-    pub fn sheds(&self) -> bool {
-        self.taken < 1.0 || self.extra < 1.0
+    /// The part of the tries that is taken, of those of little worth or of the others.
+    pub fn taken(&self, poor: bool) -> f64 {
+        self.taken * if poor { self.extra } else { 1.0 }
     }
 
     /// Counts a request that is sent.
--- a/crates/decision/src/logic/attempts.rs
+++ b/crates/decision/src/logic/attempts.rs
@@ -320,8 +320,10 @@
             Effect::Unsafe => !ran,
         };
         actions.push(if harmless {
-            // Advice to stay away while not all is taken, and else to come back soon.
-            let soon = if past || self.admission.sheds() { Nanos::MAX } else { SOON };
+            // Advice to come back soon to the part that would be taken then, and to stay away to the rest. Danger:
+            // told to stay away for a few refusals in a hundred, clients do not come again at all.
+            let away = past || self.chance.draw() > self.admission.taken(open.poor);
+            let soon = if away { Nanos::MAX } else { SOON };
             let most = self.settings.max_retry_after.min(soon) as f64;
             Action::Refuse { id, retry_after: (most * (1.0 - APART * self.chance.draw())) as Nanos }
         } else {
--- a/crates/decision/tests/decisions.rs
+++ b/crates/decision/tests/decisions.rs
@@ -1057,9 +1057,34 @@
     assert!(taken * 100 >= asked * 98, "{taken} of {asked} five seconds after the spell");
 }
 
+/// Danger: told to stay away for a few refusals in a hundred, clients do not come again at all, and what would have been
+/// served is lost.
+#[test]
+fn who_is_refused_while_nearly_all_is_taken_is_told_to_come_back_soon() {
+    let mut told = (0, 0);
+    for seed in 0..60 {
+        let mut p = Proxy::new(quick_and_slow(), seed);
+        p.list(ListKind::Cached, entries(0..10));
+        spell(&mut p, 10 * SECOND, Status::Ok, 20 * MS);
+        spell(&mut p, 2 * SECOND, Status::Timeout, 300 * MS);
+        spell(&mut p, 2 * SECOND, Status::Ok, 20 * MS);
+        for key in 0..400 {
+            p.now += MS;
+            let (_, actions) = p.ask((seed * 1_000 + key) * 7919);
+            for action in actions {
+                if let Action::Refuse { retry_after, .. } = action {
+                    told = (told.0 + u64::from(retry_after <= 50 * MS), told.1 + 1);
+                }
+            }
+        }
+    }
+    assert!(told.1 > 20, "{} refused: the spell leaves some", told.1);
+    assert!(told.0 * 4 > told.1, "{} of {} told to come back soon", told.0, told.1);
+}
+
 /// Danger: those that are refused together and told the same time return together, and are refused again.
 #[test]
-fn advice_to_stay_away_is_spread_over_its_upper_half() {
+fn advice_to_stay_away_goes_to_the_part_not_taken_and_is_spread_over_its_upper_half() {
     let mut p = Proxy::with(quick_and_slow(), entries(0..10));
     spell(&mut p, 10 * SECOND, Status::Ok, 20 * MS);
     spell(&mut p, 8 * SECOND, Status::Timeout, 300 * MS);
@@ -1074,6 +1099,8 @@
     }
     let most = settings().max_retry_after;
     assert!(advice.len() > 100, "{} refused", advice.len());
+    let soon = advice.extract_if(.., |a| *a <= 50 * MS).count();
+    assert!(soon < advice.len() / 3, "{soon} told to come back soon while hardly anything is taken");
     assert!(advice.iter().all(|a| (most / 2..=most).contains(a)));
     let late = advice.iter().filter(|a| **a > most / 4 * 3).count() * 2;
     assert!(
