--- a/crates/decision/src/logic/attempts.rs
+++ b/crates/decision/src/logic/attempts.rs
@@ -320,8 +320,8 @@
             Effect::Unsafe => !ran,
         };
         actions.push(if harmless {
-            // Advice to come back soon to the part that would be taken then, and to stay away to the rest. Danger:
-            // told to stay away for a few refusals in a hundred, clients do not come again at all.
+            // Advice to come back soon to the part that would be taken then, and to the rest to stay away.
+            // Danger: told to stay away for a few refusals in a hundred, clients do not come again at all.
             let away = past || self.chance.draw() > self.admission.taken(open.poor);
             let soon = if away { Nanos::MAX } else { SOON };
             let most = self.settings.max_retry_after.min(soon) as f64;
