--- a/crates/lab/src/cli/sim.rs
+++ b/crates/lab/src/cli/sim.rs
@@ -26,6 +26,9 @@
     /// How unevenly clients are spread over proxies; 0: evenly.
     #[arg(long, default_value_t = 0.6)]
     uneven: f64,
+    /// The part of all tries that comes to the first proxy beside its share of the rest.
+    #[arg(long, default_value_t = 0.0)]
+    heavy: f64,
     /// Seconds in a line of the table.
     #[arg(long, default_value_t = 1)]
     step: usize,
@@ -46,7 +49,10 @@
     let (proxies, nodes) =
         (args.proxies.unwrap_or(day.site.proxy.count), args.nodes.unwrap_or(day.site.cache.count));
     let day = day.sized(proxies, nodes).map_err(|e| e.to_string())?;
-    let options = Options { warm: args.warm, uneven: args.uneven, crowd: None };
+    if !(0.0..1.0).contains(&args.heavy) {
+        return Err(format!("--heavy {} is not a part from 0 to below 1", args.heavy));
+    }
+    let options = Options { warm: args.warm, uneven: args.uneven, heavy: args.heavy, crowd: None };
     let started = Instant::now();
     let play = |n: u64| {
         let mut day = day.clone();
