--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod tally;
 pub mod ticket;
 
+pub use clock::margin;
 pub use engine::{Asked, Engine};
 pub use fleet::{Ended, Fleet, Job, Tether};
 pub use limits::Limits;
--- a/crates/lab/src/cli/sim.rs
+++ b/crates/lab/src/cli/sim.rs
@@ -52,6 +52,13 @@
     if !(0.0..1.0).contains(&args.heavy) {
         return Err(format!("--heavy {} is not a part from 0 to below 1", args.heavy));
     }
+    if !(0.0..=10.0).contains(&args.uneven) {
+        return Err(format!("--uneven {} is not within 0 to 10", args.uneven));
+    }
+    let left_out = Sim::left_out(&day);
+    if !left_out.is_empty() {
+        println!("not played in simulated time: {}", left_out.join(", "));
+    }
     let options = Options { warm: args.warm, uneven: args.uneven, heavy: args.heavy, crowd: None };
     let started = Instant::now();
     let play = |n: u64| {
--- a/crates/lab/src/load/mod.rs
+++ b/crates/lab/src/load/mod.rs
@@ -4,7 +4,7 @@
 mod plan;
 mod tally;
 
-pub use plan::{again, patience, Arrival, Manner, Plan};
+pub use plan::{again, patience, Arrival, Manner, Plan, LEAVES_AFTER};
 pub use tally::{Outcome, Row, Tally, OUTCOMES};
 
 use crate::audit::Recorder;
--- a/crates/lab/src/load/plan.rs
+++ b/crates/lab/src/load/plan.rs
@@ -159,6 +159,8 @@
     part(mix(day.seed ^ 0xd4a3, arrival.number, u64::from(try_number)))
 }
 
+/// Who leaves while waiting does so after this time.
+pub const LEAVES_AFTER: Duration = Duration::from_millis(15);
 /// A hasty client's wait before it comes again.
 const AT_ONCE: Duration = Duration::from_millis(2);
 
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -120,6 +120,8 @@
     /// Over a connection that was opened for it.
     fresh: bool,
     reached: bool,
+    /// Nothing comes back over its connection any more.
+    dead: bool,
     ledger: bool,
 }
 
@@ -198,6 +200,23 @@
         sim
     }
 
+    /// What the day asks for that is not played here, by the names of its file.
+    pub fn left_out(day: &Day) -> Vec<&'static str> {
+        use crate::day::TroubleKind::{DiscoveryDown, Pieces, ProxyRoll};
+        let trouble = |kind| day.troubles.iter().any(|t| t.kind == kind);
+        let rude = &day.load.rude;
+        let all = [
+            (trouble(ProxyRoll), "proxy-roll"),
+            (trouble(DiscoveryDown), "discovery-down"),
+            (trouble(Pieces), "pieces"),
+            (rude.idle > 0, "load.rude.idle"),
+            (rude.slow_readers > 0.0, "load.rude.slow_readers"),
+            (rude.slow_writers > 0.0, "load.rude.slow_writers"),
+            (rude.leave_asking > 0.0, "load.rude.leave_asking"),
+        ];
+        all.into_iter().filter(|(there, _)| *there).map(|(_, name)| name).collect()
+    }
+
     /// A number in [0, 1) that follows from the seed and from how many were drawn before.
     fn draw(&mut self) -> f64 {
         self.draws += 1;
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -26,6 +26,8 @@
 
 /// Clients hold at most this part of the proxies' descriptors.
 const CLIENTS_PART: usize = 3;
+/// So many real proxies a trial on one machine can bear.
+const PROXIES_MOST: usize = 64;
 /// The looks at health, and at what the proxies use.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// A trial in which a hundredth of the events came later than this is void, in milliseconds.
@@ -61,6 +63,12 @@
 }
 
 async fn play(day: &Day, subject: &dyn Subject, options: &Options<'_>) -> Result<Report, String> {
+    if day.site.proxy.count > PROXIES_MOST {
+        let count = day.site.proxy.count;
+        return Err(format!(
+            "site.proxy.count: {count} processes are too many for a trial ({PROXIES_MOST}); `sim` plays them"
+        ));
+    }
     raise_descriptors();
     let clock = Clock::start();
     let (out, auditor) = audit::start(day);
