Put a relay of ours on a link, with faults from a board: delay, drops, cuts, partitions

Change: crates/lab/src/rig with the board (parties, sets such as proxy:0-4 or nodes, faults in force; no I/O) and a TCP relay on one link that reads the board on every change: delay and jitter with order kept, drops of new connections, cuts in the middle of the bytes, resets of open and new connections, a black hole, half-open connections that stay silent after the fault is lifted, a partition of two sets both ways, a cap on bandwidth.

No process is started yet; that comes next.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`load`]: clients in open loop, well-behaved and not.
 //! - [`audit`]: what clients sent and got and what nodes received, held against the rules.
 //! - [`trial`]: one day from start to end: site, subjects, load, audit, report.
+//! - [`rig`]: real proxies and stand-ins with faults on the links between them and on the processes.
 //! - [`fleet`]: many real proxies behind one control service.
 //! - [`sim`]: whole fleets in simulated time, with the real decision module.
 //! - [`keeper`]: what a memcached server does with its values.
@@ -20,6 +21,7 @@
 pub mod floor;
 pub mod keeper;
 pub mod load;
+pub mod rig;
 pub mod sim;
 pub mod site;
 pub mod trial;
--- /dev/null
+++ b/crates/lab/src/rig/tests.rs
@@ -0,0 +1,161 @@
+//! The relay is on the path: each fault changes what passes, and nothing else does.
+
+use super::board::{Active, Board, Fault, Group, Party};
+use super::relay::{self, Counts, Link, Relay};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// A far end that sends back what it gets.
+async fn echo() -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let (mut read, mut write) = stream.split();
+                let _ = tokio::io::copy(&mut read, &mut write).await;
+            });
+        }
+    });
+    addr
+}
+
+async fn relayed(board: &Board) -> Relay {
+    let target = echo().await;
+    let link = Link { from: Party::Proxy(0), to: Party::Discovery, target };
+    relay::open(&tokio::runtime::Handle::current(), link, board.watch(), 7).unwrap()
+}
+
+fn fault(id: usize, fault: Fault) -> Active {
+    Active {
+        id,
+        fault,
+        a: vec![Group::Range(0, 0)],
+        b: vec![Group::Discovery],
+        part: 1.0,
+        delay: Duration::from_millis(80),
+        jitter: Duration::ZERO,
+        rate: 64 * 1024,
+        struck: 0,
+    }
+}
+
+/// Sends `n` bytes and reads them back, within `within`.
+async fn round(stream: &mut TcpStream, n: usize, within: Duration) -> Result<Vec<u8>, String> {
+    let sent: Vec<u8> = (0..n).map(|i| (i % 251) as u8).collect();
+    stream.write_all(&sent).await.map_err(|e| e.to_string())?;
+    let mut got = vec![0u8; n];
+    match timeout(within, stream.read_exact(&mut got)).await {
+        Ok(Ok(_)) => Ok(got),
+        Ok(Err(e)) => Err(e.to_string()),
+        Err(_) => Err("silent".into()),
+    }
+}
+
+#[tokio::test]
+async fn bytes_pass_unchanged_and_a_delay_is_added_to_them() {
+    let board = Board::default();
+    let relay = relayed(&board).await;
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    let plain = Instant::now();
+    assert_eq!(round(&mut stream, 100_000, Duration::from_secs(5)).await.unwrap().len(), 100_000);
+    let plain = plain.elapsed();
+    board.strike(fault(1, Fault::Delay));
+    let slow = Instant::now();
+    round(&mut stream, 10, Duration::from_secs(5)).await.unwrap();
+    // Both directions wait.
+    assert!(
+        slow.elapsed() >= Duration::from_millis(160),
+        "{:?} with a delay, {plain:?} without",
+        slow.elapsed()
+    );
+    assert_eq!(Counts::get(&relay.counts.bytes_back), 100_010);
+}
+
+#[tokio::test]
+async fn a_partition_holds_bytes_until_it_heals_and_new_connections_go_unanswered() {
+    let board = Board::default();
+    let relay = relayed(&board).await;
+    let mut open = TcpStream::connect(relay.addr).await.unwrap();
+    round(&mut open, 10, Duration::from_secs(5)).await.unwrap();
+    board.strike(fault(1, Fault::Partition));
+    assert_eq!(round(&mut open, 10, Duration::from_millis(300)).await, Err("silent".into()));
+    let mut new = TcpStream::connect(relay.addr).await.unwrap();
+    assert_eq!(round(&mut new, 10, Duration::from_millis(300)).await, Err("silent".into()));
+    board.lift(1);
+    // What was held comes through once it heals, on both.
+    let mut rest = [0u8; 10];
+    timeout(Duration::from_secs(5), open.read_exact(&mut rest)).await.unwrap().unwrap();
+    timeout(Duration::from_secs(5), new.read_exact(&mut rest)).await.unwrap().unwrap();
+    assert_eq!(Counts::get(&relay.counts.held), 2);
+}
+
+#[tokio::test]
+async fn drops_resets_and_cuts_end_connections_each_in_its_way() {
+    let board = Board::default();
+    let relay = relayed(&board).await;
+    board.strike(fault(1, Fault::Drop));
+    let mut dropped = TcpStream::connect(relay.addr).await.unwrap();
+    let mut byte = [0u8; 1];
+    assert_eq!(timeout(Duration::from_secs(5), dropped.read(&mut byte)).await.unwrap().unwrap(), 0);
+    board.lift(1);
+    let mut open = TcpStream::connect(relay.addr).await.unwrap();
+    round(&mut open, 10, Duration::from_secs(5)).await.unwrap();
+    board.strike(fault(2, Fault::Reset));
+    let reset = timeout(Duration::from_secs(5), open.read(&mut byte)).await.unwrap();
+    assert!(matches!(&reset, Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset), "{reset:?}");
+    board.lift(2);
+    board.strike(fault(3, Fault::Cut));
+    let mut cut = TcpStream::connect(relay.addr).await.unwrap();
+    let sent = vec![1u8; 10_000];
+    let _ = cut.write_all(&sent).await;
+    let mut got = Vec::new();
+    let _ = timeout(Duration::from_secs(5), cut.read_to_end(&mut got)).await.unwrap();
+    assert!(got.len() < sent.len(), "all {} bytes came through a cut", got.len());
+    let counts = &relay.counts;
+    assert_eq!(
+        (Counts::get(&counts.dropped), Counts::get(&counts.reset), Counts::get(&counts.cut)),
+        (1, 1, 1)
+    );
+}
+
+#[tokio::test]
+async fn half_open_connections_stay_silent_while_new_ones_are_carried() {
+    let board = Board::default();
+    let relay = relayed(&board).await;
+    let mut open = TcpStream::connect(relay.addr).await.unwrap();
+    round(&mut open, 10, Duration::from_secs(5)).await.unwrap();
+    board.strike(fault(1, Fault::HalfOpen));
+    let mut new = TcpStream::connect(relay.addr).await.unwrap();
+    round(&mut new, 10, Duration::from_secs(5)).await.unwrap();
+    board.lift(1);
+    assert_eq!(round(&mut open, 10, Duration::from_millis(300)).await, Err("silent".into()));
+}
+
+#[tokio::test]
+async fn a_cap_on_bandwidth_slows_a_large_transfer() {
+    let board = Board::default();
+    let relay = relayed(&board).await;
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    board.strike(fault(1, Fault::Bandwidth));
+    let began = Instant::now();
+    // 64 KiB each way at 64 KiB a second.
+    round(&mut stream, 64 * 1024, Duration::from_secs(10)).await.unwrap();
+    assert!(began.elapsed() >= Duration::from_millis(900), "{:?}", began.elapsed());
+}
+
+#[tokio::test]
+async fn a_target_that_is_gone_is_a_reset() {
+    let board = Board::default();
+    let gone = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap().local_addr().unwrap();
+    let link = Link { from: Party::Proxy(0), to: Party::Ledger, target: gone };
+    let relay = relay::open(&tokio::runtime::Handle::current(), link, board.watch(), 7).unwrap();
+    let mut stream = TcpStream::connect(relay.addr).await.unwrap();
+    let mut byte = [0u8; 1];
+    let read = timeout(Duration::from_secs(5), stream.read(&mut byte)).await.unwrap();
+    assert!(read.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset));
+    assert_eq!(Counts::get(&relay.counts.unreached), 1);
+}
