Let the site list, for each proxy, the address at which the rig's relay for a member stands

Need: the fault rig has to stand on the link between each proxy and each cache node, also for nodes that join later; proxies learn node addresses from the list service, so the list has to name the relays.

Change: Site::open_meshed takes a Mesh (proxy, member address -> address to use); the list, whole or changes, is written for each proxy through it, and the list known at the start is one for each proxy. Site::open keeps the old behaviour (no mesh), so trials, fleets and `site` are as before.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -345,7 +345,7 @@
     std::fs::create_dir_all(&args.dir).map_err(|e| format!("{}: {e}", args.dir.display()))?;
     for (me, discovery) in site.discovery.iter().enumerate() {
         let file = args.dir.join(format!("proxy-{me}.json"));
-        let config = proxy_config(&day, me, *discovery, &site.known).to_string();
+        let config = proxy_config(&day, me, *discovery, &site.known[me]).to_string();
         std::fs::write(&file, config).map_err(|e| format!("{}: {e}", file.display()))?;
         println!("proxy {me}: PROXY_CONFIG={} (discovery at {discovery})", file.display());
     }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -224,7 +224,7 @@
     let program = Program { operator: Some(file), ..Program::new(program.to_owned()) };
     let mut proxies = Vec::new();
     for (me, discovery) in site.discovery.iter().enumerate() {
-        let config = proxy_config(&day, me, *discovery, &site.known);
+        let config = proxy_config(&day, me, *discovery, &site.known[me]);
         proxies.push(program.start(me, &config, &folder.path().join(format!("proxy-{me}")))?);
     }
     let until = Instant::now() + WITHIN;
--- a/crates/lab/src/site/discovery.rs
+++ b/crates/lab/src/site/discovery.rs
@@ -61,9 +61,16 @@
     }
 }
 
-/// A list, or changes of one, in discovery's form.
-pub fn list(hall: &Hall, lines: &[Line], whole: bool) -> Value {
-    let servers: Vec<Value> = lines.iter().filter_map(|line| Some(hall.member(*line)?.json())).collect();
+/// A list, or changes of one, in discovery's form, as proxy `proxy` is to be told it.
+pub fn list(hall: &Hall, proxy: usize, lines: &[Line], whole: bool) -> Value {
+    let told = |line: &Line| {
+        let mut member = hall.member(*line)?;
+        if let Some(mesh) = &hall.mesh {
+            member.addr = mesh(proxy, member.addr);
+        }
+        Some(member.json())
+    };
+    let servers: Vec<Value> = lines.iter().filter_map(told).collect();
     json!({"version": hall.world.borrow().roster().version(), "full": whole, "servers": servers})
 }
 
@@ -86,7 +93,7 @@
             }
         }
         let (lines, whole) = news(hall.world.borrow().roster(), from);
-        let body = list(hall, &lines, whole).to_string();
+        let body = list(hall, proxy, &lines, whole).to_string();
         hall.told(proxy, &lines, whole);
         let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: ";
         wire.write(format!("{head}{}\r\n\r\n{body}", body.len()).as_bytes()).await?;
--- a/crates/lab/src/site/hall.rs
+++ b/crates/lab/src/site/hall.rs
@@ -48,6 +48,8 @@
     pub discovery: watch::Sender<bool>,
     /// Proxies that are to be restarted.
     orders: mpsc::Sender<usize>,
+    /// Where each proxy is to reach each member, if not at the member itself.
+    pub mesh: Option<super::Mesh>,
     /// How late the model's events were played, in microseconds.
     pub lateness: RefCell<Histogram<u64>>,
     /// Fetches and writes that reached the ledger.
@@ -67,7 +69,13 @@
 
 impl Hall {
     /// A site before it opens.
-    pub fn new(day: &Day, clock: Clock, recorder: Recorder, orders: mpsc::Sender<usize>) -> Rc<Self> {
+    pub fn new(
+        day: &Day,
+        clock: Clock,
+        recorder: Recorder,
+        orders: mpsc::Sender<usize>,
+        mesh: Option<super::Mesh>,
+    ) -> Rc<Self> {
         let catalogue = Catalogue::new(day);
         let world = World::new(day, &catalogue);
         let listed = watch::Sender::new(world.roster().version());
@@ -84,6 +92,7 @@
             listed,
             discovery: watch::Sender::new(true),
             orders,
+            mesh,
             lateness: RefCell::new(Histogram::new_with_bounds(1, 60_000_000, 2).expect("sound bounds")),
             ledger_asks: Cell::new(0),
             hits: Cell::new(0),
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -21,6 +21,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
+/// Where proxy `.0` is to reach a member that listens at `.1`: the fault rig's relays stand there. Without one, at the member.
+pub type Mesh = std::sync::Arc<dyn Fn(usize, SocketAddr) -> SocketAddr + Send + Sync>;
+
 /// Restarts that may wait to be carried out.
 const ORDERS_MOST: usize = 1024;
 
@@ -42,8 +45,8 @@
     pub discovery: Vec<SocketAddr>,
     /// Where each member listened when the site opened, the ledger last.
     pub members: Vec<SocketAddr>,
-    /// The list as it stood when the site opened, in discovery's form.
-    pub known: Value,
+    /// The list as it stood when the site opened, in discovery's form, for each proxy.
+    pub known: Vec<Value>,
     /// Proxies that are to be restarted, as the day goes.
     pub orders: mpsc::Receiver<usize>,
     begin: Option<oneshot::Sender<()>>,
@@ -54,7 +57,7 @@
 struct Opened {
     discovery: Vec<SocketAddr>,
     members: Vec<SocketAddr>,
-    known: Value,
+    known: Vec<Value>,
 }
 
 impl Site {
@@ -66,6 +69,19 @@
         day: &Day,
         clock: Clock,
         recorder: impl FnOnce() -> Recorder + Send + 'static,
+    ) -> io::Result<Site> {
+        Site::open_meshed(day, clock, recorder, None)
+    }
+
+    /// Opens a site whose lists name, for each proxy, the address that `mesh` gives for each member.
+    ///
+    /// # Errors
+    /// As [`Site::open`].
+    pub fn open_meshed(
+        day: &Day,
+        clock: Clock,
+        recorder: impl FnOnce() -> Recorder + Send + 'static,
+        mesh: Option<Mesh>,
     ) -> io::Result<Site> {
         let (stop, stopped) = oneshot::channel();
         let (begin, begun) = oneshot::channel();
@@ -75,7 +91,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let stand = move || {
             let local = tokio::task::LocalSet::new();
-            let hall = Hall::new(&day, clock, recorder(), orders_out);
+            let hall = Hall::new(&day, clock, recorder(), orders_out, mesh);
             let standing = hall.clone();
             local.block_on(&runtime, async move {
                 // Who opens the site waits for this.
@@ -133,5 +149,6 @@
     }
     let lines = hall.world.borrow().roster().all();
     let members = hall.posts.borrow().iter().map(|p| p.addr).collect();
-    Ok(Opened { discovery: addrs, members, known: discovery::list(hall, &lines, true) })
+    let known = (0..addrs.len()).map(|proxy| discovery::list(hall, proxy, &lines, true)).collect();
+    Ok(Opened { discovery: addrs, members, known })
 }
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -79,7 +79,7 @@
         .discovery
         .iter()
         .enumerate()
-        .map(|(me, addr)| proxy_config(day, me, *addr, &site.known))
+        .map(|(me, addr)| proxy_config(day, me, *addr, &site.known[me]))
         .collect();
     let folder = tempfile::tempdir().map_err(|e| format!("a folder: {e}"))?;
     let note = |seen| {
