Read the rig's experiments with places, and tie children, logs and strikes to the rig

Change: rig/plan.rs reads [[link]] and [[process]] steps (kill, term, pause; restart with kept or cleared state; spread and pick drawn from the seed) and checks them all at once with places. rig/mesh.rs holds every relay on a thread of its own, opened the first time a link is listed. Program can tie a child to its starting thread by PR_SET_PDEATHSIG (the laboratory's one audited unsafe block) and copy every line into one log with time, process and id. The auditor takes Seen::Struck from the rig: a request left unanswered at a proxy that the rig killed or paused is counted as struck, not as lost; every other rule still holds for it. The tally keeps outcomes by second.

No process is started by the rig yet.

--- a/crates/lab/src/audit/evidence.rs
+++ b/crates/lab/src/audit/evidence.rs
@@ -131,6 +131,13 @@
         /// The proxy.
         proxy: usize,
     },
+    /// The fault rig killed or paused a proxy; what was out there, or is sent there before `until`, may go unanswered.
+    Struck {
+        /// The proxy.
+        proxy: usize,
+        /// When it is back, on the same clock.
+        until: crate::clock::Nanos,
+    },
     /// A proxy ended that should not have.
     Crashed {
         /// The proxy.
--- a/crates/lab/src/audit/mod.rs
+++ b/crates/lab/src/audit/mod.rs
@@ -41,6 +41,9 @@
     pub attempts: u64,
     /// Requests on a new connection that was closed before anything of them went on. No rule is broken by these.
     pub closed_at_the_door: u64,
+    /// Requests that went unanswered at a proxy that the fault rig killed or paused meanwhile. No rule is broken by these.
+    #[serde(default)]
+    pub struck: u64,
     /// Broken rules, counted.
     pub broken: BTreeMap<Rule, u64>,
     /// The first of them.
@@ -123,6 +126,7 @@
         self.verdict.attempts += history.iter().filter(reached).count() as u64;
         let found = self.judge.request(&history);
         self.verdict.closed_at_the_door += u64::from(found.closed_at_the_door);
+        self.verdict.struck += u64::from(found.struck);
         for (rule, what) in found.broken {
             let history =
                 history.iter().map(|e| format!("{:9.3} s  {:?}", e.at as f64 / 1e9, e.seen)).collect();
--- a/crates/lab/src/audit/rules.rs
+++ b/crates/lab/src/audit/rules.rs
@@ -51,6 +51,8 @@
     pub broken: Vec<(Rule, String)>,
     /// It was turned away with its connection before anything of it went on.
     pub closed_at_the_door: bool,
+    /// It went unanswered at a proxy that the rig killed or paused meanwhile; that breaks no rule.
+    pub struck: bool,
 }
 
 impl Found {
@@ -90,8 +92,13 @@
     repeats: Nanos,
     told: HashMap<(usize, usize), Told>,
     listed: HashMap<usize, Told>,
+    /// When the rig struck each proxy, and until when.
+    struck: HashMap<usize, Vec<(Nanos, Nanos)>>,
 }
 
+/// So many strikes of the rig are remembered for each proxy.
+const STRIKES_MOST: usize = 4096;
+
 impl Judge {
     /// A judge for a day.
     pub fn new(day: &Day) -> Self {
@@ -100,6 +107,7 @@
             repeats: nanos(day.site.ledger.repeats),
             told: HashMap::new(),
             listed: HashMap::new(),
+            struck: HashMap::new(),
         }
     }
 
@@ -119,6 +127,13 @@
                 self.told.retain(|(p, _), _| p != proxy);
                 None
             }
+            Seen::Struck { proxy, until } => {
+                let strikes = self.struck.entry(*proxy).or_default();
+                if strikes.len() < STRIKES_MOST {
+                    strikes.push((at, *until));
+                }
+                None
+            }
             Seen::Fell { member } => Some((Rule::ColdFall, format!("cold node {member} was pushed over"))),
             Seen::Stopped { cold_part } if *cold_part > COLD_PART => {
                 let what =
@@ -152,12 +167,25 @@
             return found;
         };
         self.final_answer(history, &mut found);
+        if self.struck_at(proxy, history) {
+            let before = found.broken.len();
+            found.broken.retain(|(rule, _)| !matches!(rule, Rule::Lost | Rule::Unanswered));
+            found.struck = found.broken.len() < before;
+        }
         self.bytes(history, &mut found);
         self.runs(history, &mut found);
         self.drains(proxy, history, &mut found);
         found
     }
 
+    /// Whether the rig struck the request's proxy while the request was out there and had no answer.
+    fn struck_at(&self, proxy: usize, history: &[Evidence]) -> bool {
+        let Some(strikes) = self.struck.get(&proxy) else { return false };
+        let began = history.first().map_or(0, |e| e.at);
+        let answered = history.iter().find(|e| matches!(e.seen, Seen::Answered { .. })).map(|e| e.at);
+        strikes.iter().any(|(from, until)| began <= *until && answered.is_none_or(|a| a > *from))
+    }
+
     fn final_answer(&self, history: &[Evidence], found: &mut Found) {
         let count = |is: fn(&Seen) -> bool| history.iter().filter(|e| is(&e.seen)).count();
         let answers = count(|s| matches!(s, Seen::Answered { .. }));
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,7 +11,7 @@
 //! - [`sim`]: whole fleets in simulated time, with the real decision module.
 //! - [`keeper`]: what a memcached server does with its values.
 //! - [`floor`]: a bare pass-through, the least that any proxy costs.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod audit;
--- a/crates/lab/src/load/tally.rs
+++ b/crates/lab/src/load/tally.rs
@@ -110,6 +110,8 @@
     pub lateness: Histogram<u64>,
     /// By the second in which they were due: worth answered within its aim, and worth asked for.
     pub seconds: Vec<(f64, f64)>,
+    /// By the second in which they were due: requests by outcome, in the order of [`OUTCOMES`].
+    pub outcomes: Vec<[u64; OUTCOMES.len()]>,
     /// Tries, first ones and retries.
     pub tries: u64,
     /// Arrivals that were not sent because too many were out. A trial with any is void.
@@ -128,6 +130,7 @@
             lateness: latencies(),
             // One more for what is due at the very end.
             seconds: vec![(0.0, 0.0); day.length.as_secs() as usize + 1],
+            outcomes: vec![[0; OUTCOMES.len()]; day.length.as_secs() as usize + 1],
             tries: 0,
             not_sent: 0,
             idle_closed: 0,
@@ -150,6 +153,9 @@
             second.0 += if outcome == Outcome::Served { worth } else { 0.0 };
             second.1 += worth;
         }
+        if let Some(counts) = self.outcomes.get_mut((since / SECOND) as usize) {
+            counts[OUTCOMES.iter().position(|o| *o == outcome).unwrap_or(0)] += 1;
+        }
         self.all.add(outcome, latency, worth);
         self.classes[class].add(outcome, latency, worth);
         self.tenants[tenant].add(outcome, latency, worth);
@@ -170,6 +176,7 @@
         assert_eq!((tally.all.goodput(), tally.all.requests()), (0.5, 3));
         assert_eq!((tally.tenants[0].goodput(), tally.tenants[1].goodput()), (1.0, 0.0));
         assert_eq!(tally.seconds[..2], [(2.0, 2.0), (0.0, 2.0)]);
+        assert_eq!((tally.outcomes[0][0], tally.outcomes[1][1], tally.outcomes[1][7]), (1, 1, 1));
         assert_eq!(tally.classes[0].served.len(), 2);
         assert_eq!(tally.classes[1].count(Outcome::Left), 1);
     }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -2,9 +2,13 @@
 //! (`docs/design-rig.md`).
 //!
 //! - [`board`]: parties, faults and the board of those in force; no I/O.
+//! - [`mesh`]: the relays of an experiment, on a thread of their own.
+//! - [`plan`]: an experiment's file and the schedule that a seed makes of it.
 //! - [`relay`]: a relay on one link.
 
 pub mod board;
+pub mod mesh;
+pub mod plan;
 pub mod relay;
 
 #[cfg(test)]
--- a/crates/lab/src/site/discovery.rs
+++ b/crates/lab/src/site/discovery.rs
@@ -66,7 +66,7 @@
     let told = |line: &Line| {
         let mut member = hall.member(*line)?;
         if let Some(mesh) = &hall.mesh {
-            member.addr = mesh(proxy, member.addr);
+            member.addr = mesh(proxy, member.addr, &member.kind);
         }
         Some(member.json())
     };
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -21,8 +21,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 
-/// Where proxy `.0` is to reach a member that listens at `.1`: the fault rig's relays stand there. Without one, at the member.
-pub type Mesh = std::sync::Arc<dyn Fn(usize, SocketAddr) -> SocketAddr + Send + Sync>;
+/// Where proxy `.0` is to reach a member that listens at `.1` and is of kind `.2` (`ledger` for the ledger): the fault
+/// rig's relays stand there. Without one, at the member.
+pub type Mesh = std::sync::Arc<dyn Fn(usize, SocketAddr, &str) -> SocketAddr + Send + Sync>;
 
 /// Restarts that may wait to be carried out.
 const ORDERS_MOST: usize = 1024;
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -10,7 +10,7 @@
 
 pub use recovery::Recovery;
 pub use report::{Line, Percentiles, Report};
-pub use subject::{find_file, find_proxy, Program, Running, Subject};
+pub use subject::{find_file, find_proxy, Log, Program, Running, Subject};
 pub use sweep::{plot, sweep, Curve, Point};
 pub use usage::Usage;
 
