Play rig experiments with real proxy processes: partitions and kills, `aniseyoke-lab chaos`

Change: rig/procs.rs owns the proxies (one folder each across restarts, kept or cleared; SIGKILL, SIGTERM, SIGSTOP and SIGCONT by id); rig/play.rs opens the site with the mesh of relays, starts the proxies on relayed discovery, runs the load, plays the schedule, tells the auditor what it struck, and gathers outcomes by second, relay counts and the verdict.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,5 +1,6 @@
 //! What can be asked of the laboratory.
 
+mod chaos;
 mod keeper;
 mod sim;
 mod versions;
@@ -38,6 +39,8 @@
     Sweep(Sweep),
     /// Play a day in simulated time, with the decision module of each proxy of a whole fleet.
     Sim(sim::Simulate),
+    /// Play an experiment of the fault rig: real proxies, relays on every link, faults by a schedule.
+    Chaos(chaos::Chaos),
     /// Publish versions of the configuration to a fleet of real proxies, and measure what they take.
     Versions(versions::Versions),
     /// Serve as a memcached server of the binary protocol until Ctrl-C, for client libraries of others.
@@ -183,6 +186,7 @@
         Command::Sweep(args) => sweep(&args),
         Command::Keeper(args) => keeper::run(&args),
         Command::Sim(args) => sim::run(&args),
+        Command::Chaos(args) => chaos::run(&args),
         Command::Versions(args) => versions::run(&args),
         Command::Site(args) => stand(&args),
         Command::Load(args) => send(&args),
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -4,11 +4,15 @@
 //! - [`board`]: parties, faults and the board of those in force; no I/O.
 //! - [`mesh`]: the relays of an experiment, on a thread of their own.
 //! - [`plan`]: an experiment's file and the schedule that a seed makes of it.
+//! - [`play`]: one experiment from start to end.
+//! - [`procs`]: the real proxies, signalled and started again.
 //! - [`relay`]: a relay on one link.
 
 pub mod board;
 pub mod mesh;
 pub mod plan;
+pub mod play;
+pub mod procs;
 pub mod relay;
 
 #[cfg(test)]
--- /dev/null
+++ b/crates/lab/src/rig/play.rs
@@ -0,0 +1,278 @@
+//! One experiment from start to end: site, relays, real proxies, load, the schedule of faults, the audit.
+
+use super::board::{Board, Party};
+use super::mesh::{Mesh, Totals};
+use super::plan::{Action, Do, Plan, Schedule};
+use super::procs::Procs;
+use crate::audit::{self, Evidence, Recorder, Seen, Verdict};
+use crate::clock::{Clock, MS};
+use crate::day::{proxy_config, Day};
+use crate::load::{Load, OUTCOMES};
+use crate::site::{self, Front, Health, Site};
+use crate::trial::{health, raise_descriptors, Line, Log, Program, Report};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Steps of the schedule are carried out, and processes looked at, this often.
+const LOOK_EVERY: Duration = Duration::from_millis(50);
+/// All proxies are well within this time of their start.
+const WELL_WITHIN: Duration = Duration::from_secs(30);
+/// Clients hold at most this part of the proxies' descriptors.
+const CLIENTS_PART: usize = 3;
+
+/// What an experiment came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Outcome {
+    /// The seed of its schedule.
+    pub seed: u64,
+    /// Real proxies.
+    pub proxies: usize,
+    /// Requests by outcome, over all.
+    pub all: Line,
+    /// For each second of the load: requests by outcome.
+    pub seconds: Vec<BTreeMap<String, u64>>,
+    /// What the relays did.
+    pub links: Totals,
+    /// What was done when, in seconds from the start of the load.
+    pub done: Vec<(f64, String)>,
+    /// Proxies that ended by themselves, or did not start again.
+    pub crashes: Vec<String>,
+    /// Processes that each proxy had.
+    pub starts: Vec<u32>,
+    /// The audit.
+    pub verdict: Verdict,
+}
+
+impl Outcome {
+    /// Whether no rule was broken and no proxy crashed.
+    pub fn clean(&self) -> bool {
+        self.verdict.clean() && self.crashes.is_empty()
+    }
+}
+
+/// Plays an experiment; `folder` takes the proxies' folders and the log of all processes (`processes.log`).
+///
+/// # Errors
+/// If it could not be played: the system lacks something, or a proxy did not start.
+pub fn run(
+    plan: &Plan,
+    day: &Day,
+    program: Program,
+    seed: u64,
+    folder: &Path,
+    stop: &AtomicBool,
+) -> Result<Outcome, String> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    // Children are tied to this thread, which lives until they are all ended.
+    runtime.block_on(play(plan, day, program, seed, folder, stop))
+}
+
+async fn play(
+    plan: &Plan,
+    day: &Day,
+    mut program: Program,
+    seed: u64,
+    folder: &Path,
+    stop: &AtomicBool,
+) -> Result<Outcome, String> {
+    raise_descriptors();
+    let clock = Clock::start();
+    let (out, auditor) = audit::start(day);
+    let (site_out, load_out, own_out) = (out.clone(), out.clone(), out);
+    let board = Board::default();
+    let mesh = Mesh::start(board.clone(), seed).map_err(|e| format!("relays: {e}"))?;
+    let routed = mesh.clone();
+    let route: site::Mesh = Arc::new(move |proxy, addr, kind| {
+        routed.route(proxy, addr, if kind == "ledger" { Party::Ledger } else { Party::Node(addr) })
+    });
+    let recorder = move || Recorder::new(clock, site_out);
+    let mut site = Site::open_meshed(day, clock, recorder, Some(route)).map_err(|e| format!("site: {e}"))?;
+    let configs = (site.discovery.iter().enumerate())
+        .map(|(me, addr)| proxy_config(day, me, mesh.route(me, *addr, Party::Discovery), &site.known[me]))
+        .collect();
+    program.tied = true;
+    let log = Log::create(&folder.join("processes.log")).map_err(|e| format!("processes.log: {e}"))?;
+    program.log = Some(log.clone());
+    let mut procs = Procs::start(program, configs, &folder.join("proxies"))?;
+    let addrs: Vec<_> = (0..procs.len()).filter_map(|me| procs.addr(me)).collect();
+    let front = Arc::new(Front::new(&addrs, day.site.proxy.notice));
+    until_well(&addrs).await?;
+    let note = move |seen| {
+        // An auditor that has ended wants no more.
+        let _ = own_out.send(vec![Evidence { at: clock.now(), seen }]);
+    };
+    let connections = (day.site.proxy.sockets * day.site.proxy.count / CLIENTS_PART).max(1);
+    let from = clock.now() + 50 * MS;
+    let load =
+        Load::start(day, clock, from, front.clone(), connections, move || Recorder::new(clock, load_out))
+            .map_err(|e| format!("load: {e}"))?;
+    site.begin();
+    let began = Instant::now();
+    let Schedule { steps } = plan.schedule(seed);
+    let (mut next, mut done, mut crashes) = (0, Vec::new(), Vec::new());
+    while !load.over() {
+        tokio::time::sleep(LOOK_EVERY).await;
+        let now = began.elapsed();
+        while let Some((at, step)) = steps.get(next).filter(|(at, _)| *at <= now) {
+            let until = steps[next..].iter().find_map(|(later, d)| match d {
+                Do::Resume(p) | Do::Start(p, _) if matches!(step, Do::Signal(q, _) if q == p) => Some(*later),
+                _ => None,
+            });
+            let what = match step {
+                Do::Strike(active) => {
+                    board.strike(active.clone());
+                    format!("{:?} between {:?} and {:?}", active.fault, active.a, active.b)
+                }
+                Do::Lift(id) => {
+                    board.lift(*id);
+                    format!("link fault {id} lifted")
+                }
+                Do::Signal(me, action) => {
+                    let pid = procs.pid(*me);
+                    let struck = procs.signal(*me, *action);
+                    if struck && *action != Action::Term {
+                        let back =
+                            until.map_or(u64::MAX, |u| clock.now() + u.saturating_sub(*at).as_nanos() as u64);
+                        note(Seen::Struck { proxy: *me, until: back });
+                    }
+                    if struck && *action == Action::Kill {
+                        front.looked(*me, Health::Dead);
+                    }
+                    format!(
+                        "{action:?} proxy {me} ({pid:?}){}",
+                        if struck { "" } else { ": it was not running" }
+                    )
+                }
+                Do::Resume(me) => {
+                    procs.resume(*me);
+                    format!("proxy {me} resumed")
+                }
+                Do::Start(me, state) => match procs.restart(*me, *state) {
+                    Ok(Some(addr)) => {
+                        front.moved(*me, addr);
+                        note(Seen::Started { proxy: *me });
+                        format!("proxy {me} started again at {addr}, state {state:?}")
+                    }
+                    Ok(None) => format!("proxy {me} was not down"),
+                    Err(why) => {
+                        crashes.push(why);
+                        note(Seen::Crashed { proxy: *me });
+                        format!("proxy {me} did not start again")
+                    }
+                },
+            };
+            tracing::info!("{:8.3} s  {what}", at.as_secs_f64());
+            done.push((at.as_secs_f64(), what));
+            next += 1;
+        }
+        while site.orders.try_recv().is_ok() {
+            // The day's own restarts of proxies are the rig's to make; they are not carried out.
+        }
+        for (me, why) in procs.look() {
+            note(Seen::Crashed { proxy: me });
+            crashes.push(why);
+        }
+        look_at_health(&procs, &front).await;
+        if stop.load(Ordering::Relaxed) {
+            load.progress.stop.store(true, Ordering::Relaxed);
+        }
+    }
+    let tally = load.finish();
+    procs.end(Duration::from_secs(3));
+    let starts = procs.starts();
+    drop(procs);
+    let _counts = site.close();
+    let links = mesh.totals();
+    mesh.close();
+    log.flush();
+    drop(note);
+    let verdict = auditor.join().map_err(|_| "the auditor broke".to_owned())?;
+    let (all, _, _) = Report::counted(&tally);
+    let name = |n: usize| format!("{:?}", OUTCOMES[n]).to_lowercase();
+    let seconds = (tally.outcomes.iter())
+        .map(|counts| {
+            counts.iter().enumerate().filter(|(_, c)| **c > 0).map(|(n, c)| (name(n), *c)).collect()
+        })
+        .collect();
+    Ok(Outcome { seed, proxies: plan.proxies, all, seconds, links, done, crashes, starts, verdict })
+}
+
+async fn until_well(addrs: &[std::net::SocketAddr]) -> Result<(), String> {
+    let until = Instant::now() + WELL_WITHIN;
+    for (me, addr) in addrs.iter().enumerate() {
+        while health(*addr).await != Health::Well {
+            if Instant::now() > until {
+                return Err(format!("proxy {me} does not get well within {WELL_WITHIN:?}"));
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Asks all at once, so that paused ones cost one wait, not one each.
+async fn look_at_health(procs: &Procs, front: &Front) {
+    let mut looks = tokio::task::JoinSet::new();
+    for me in 0..procs.len() {
+        match procs.addr(me) {
+            Some(addr) => drop(looks.spawn(async move { (me, health(addr).await) })),
+            None => front.looked(me, Health::Dead),
+        }
+    }
+    while let Some(Ok((me, health))) = looks.join_next().await {
+        front.looked(me, health);
+    }
+}
+
+/// The day of an experiment: the one it names, sized, lengthened and paced as it says. A day's file is looked for
+/// beside the experiment's file first.
+///
+/// # Errors
+/// What is wrong with the day, or with it so sized.
+pub fn day_of(plan: &Plan, beside: Option<&Path>) -> Result<Day, String> {
+    let near = beside.and_then(Path::parent).map(|folder| folder.join(&plan.day)).filter(|p| p.is_file());
+    let name = near.map_or(plan.day.clone(), |p| p.display().to_string());
+    let day = Day::open(&name).map_err(|e| e.to_string())?;
+    let nodes = plan.nodes.unwrap_or(day.site.cache.count);
+    let mut day = day.sized(plan.proxies, nodes).map_err(|e| e.to_string())?;
+    if let Some(length) = plan.length {
+        day.length = length;
+    }
+    if let Some(rate) = plan.rate {
+        day.load.rate = rate;
+    }
+    Ok(day)
+}
+
+/// The outcome as a table for a reader.
+pub fn table(outcome: &Outcome) -> String {
+    let mut text = format!("{} proxies, seed {}\n", outcome.proxies, outcome.seed);
+    for (at, what) in &outcome.done {
+        text += &format!("  {at:8.3} s  {what}\n");
+    }
+    let all = &outcome.all;
+    text += &format!("requests {}, goodput {:.3}\n", all.requests, all.goodput);
+    for (outcome, count) in &all.outcomes {
+        text += &format!("  {outcome:<12} {count:>8}\n");
+    }
+    let l = &outcome.links;
+    text += &format!(
+        "links: {} relays, {} connections; dropped {}, cut {}, reset {}, held silent {}, target gone {}\n",
+        l.relays, l.taken, l.dropped, l.cut, l.reset, l.held, l.unreached
+    );
+    let v = &outcome.verdict;
+    text += &format!(
+        "audit: {} requests, {} unanswered where the rig struck, {} closed at the door, broken {:?}\n",
+        v.requests, v.struck, v.closed_at_the_door, v.broken
+    );
+    for crash in &outcome.crashes {
+        text += &format!("crash: {crash}\n");
+    }
+    text += if outcome.clean() { "clean\n" } else { "RULES BROKEN\n" };
+    text
+}
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -1,13 +1,14 @@
 //! One day from start to end: the site opens, the proxies start, the load runs, proxies are restarted as the day says,
 //! everything is looked at, and all of it ends.
 
-mod proxies;
+pub(crate) mod proxies;
 mod recovery;
 mod report;
 mod subject;
 mod sweep;
 mod usage;
 
+pub use proxies::health;
 pub use recovery::Recovery;
 pub use report::{Line, Percentiles, Report};
 pub use subject::{find_file, find_proxy, Log, Program, Running, Subject};
--- a/crates/lab/src/trial/proxies.rs
+++ b/crates/lab/src/trial/proxies.rs
@@ -61,7 +61,8 @@
     }
 }
 
-async fn health(addr: SocketAddr) -> Health {
+/// Whether the proxy at `addr` says that it is well, within half a second.
+pub async fn health(addr: SocketAddr) -> Health {
     let look = async {
         let mut wire = Wire::new(TcpStream::connect(addr).await?);
         wire.write(b"GET /_health HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n").await?;
--- a/crates/lab/src/trial/report.rs
+++ b/crates/lab/src/trial/report.rs
@@ -109,7 +109,7 @@
     }
 
     /// Fills in what the clients counted.
-    pub(super) fn counted(tally: &Tally) -> (Line, Vec<Line>, Vec<Line>) {
+    pub(crate) fn counted(tally: &Tally) -> (Line, Vec<Line>, Vec<Line>) {
         let lines = |rows: &[Row]| rows.iter().map(Line::from).collect();
         ((&tally.all).into(), lines(&tally.classes), lines(&tally.tenants))
     }
--- a/crates/lab/src/trial/subject.rs
+++ b/crates/lab/src/trial/subject.rs
@@ -77,7 +77,7 @@
 #[derive(Clone)]
 pub struct Log {
     began: Instant,
-    file: Arc<Mutex<std::io::BufWriter<std::fs::File>>>,
+    file: Arc<Mutex<std::io::LineWriter<std::fs::File>>>,
 }
 
 impl Log {
@@ -87,7 +87,7 @@
     /// If it can't be created.
     pub fn create(path: &Path) -> std::io::Result<Log> {
         let file = std::fs::File::create(path)?;
-        Ok(Log { began: Instant::now(), file: Arc::new(Mutex::new(std::io::BufWriter::new(file))) })
+        Ok(Log { began: Instant::now(), file: Arc::new(Mutex::new(std::io::LineWriter::new(file))) })
     }
 
     fn write(&self, me: usize, pid: u32, line: &str) {
