--- a/crates/proxy/tests/versions.rs
+++ b/crates/proxy/tests/versions.rs
@@ -183,11 +183,12 @@
     // A service from a backup: lower numbers under the epoch that was there before.
     let old = control(1);
     old.publish(json!({ "log": { "burst": 4 } }));
-    drop((proxy, service));
+    // The version is kept by a thread of its own after it is in force: the proxy is ended only once it is on disk.
     until("the later one is kept", || {
         let mut store = Store::new(Disk, site.kept());
         matches!(store.find(), Ok(aniseyoke_control::store::Found::Good(k)) if k.version.stamp == stamp)
     });
+    drop((proxy, service));
     let proxy = site.start(&[old.addr()]);
     let why = old.refusal(Stamp { epoch: 1, number: 1 });
     assert!(why.contains("older"), "{why}");
