Mend what a second reading of the rig found: places, a shared budget, a test

Seen on reading the change again: a place in an experiment's file was cut at a byte offset, which panics inside a character; `proxies` and `length` were told at 1:1, where they do not stand; the two directions of a cut connection drew on one budget by a load and a subtraction, which can wrap below nothing when both move at once and so never cut; the relay test compared lengths of what came back, not bytes; a count was documented as five counts.

Change: places stop at the last character boundary; `proxies` keeps its span and is told there, `length` is named by key; the cut budget is drawn by one fetch_update that saturates; the relay test compares the bytes; the doc says what `dropped` counts.

--- a/crates/lab/src/rig/mesh.rs
+++ b/crates/lab/src/rig/mesh.rs
@@ -37,7 +37,7 @@
     pub relays: u64,
     /// Connections taken.
     pub taken: u64,
-    /// Closed at once, cut, reset, held silent, with a target gone.
+    /// Closed at once by `drop`.
     pub dropped: u64,
     /// Cut in their bytes.
     pub cut: u64,
--- a/crates/lab/src/rig/plan.rs
+++ b/crates/lab/src/rig/plan.rs
@@ -23,7 +23,7 @@
     /// The day that gives site, classes and load: a built-in name or a file.
     pub day: String,
     /// Real proxies.
-    pub proxies: usize,
+    pub proxies: Spanned<usize>,
     /// Cache nodes, if not the day's; load and ledger go with them.
     pub nodes: Option<usize>,
     /// For how long requests arrive, if not the day's.
@@ -194,7 +194,8 @@
 
 /// Line and column, from 1, of a byte of a text.
 fn place(text: &str, at: usize) -> (usize, usize) {
-    let before = &text[..at.min(text.len())];
+    let at = (0..=at.min(text.len())).rev().find(|i| text.is_char_boundary(*i)).unwrap_or(0);
+    let before = text.get(..at).unwrap_or_default();
     let line = before.matches('\n').count() + 1;
     let col = before.rsplit('\n').next().map_or(0, |l| l.chars().count()) + 1;
     (line, col)
@@ -216,21 +217,22 @@
         let mut faults = Vec::new();
         let mut fault =
             |span: std::ops::Range<usize>, why: String| faults.push(format!("{}: {why}", at(Some(span))));
-        if plan.proxies == 0 || plan.proxies > PROXIES_MOST {
-            fault(0..0, format!("proxies = {}: from 1 to {PROXIES_MOST}", plan.proxies));
+        let proxies = plan.proxies();
+        if proxies == 0 || proxies > PROXIES_MOST {
+            fault(plan.proxies.span(), format!("proxies = {proxies}: from 1 to {PROXIES_MOST}"));
         }
         let length = plan.length.unwrap_or(Duration::MAX);
+        let mut unplaced = Vec::new();
         if plan.length.is_some_and(|l| l.is_zero() || l > LENGTH_MOST) {
-            fault(
-                0..0,
-                format!("length: more than nothing and at most {}", humantime::format_duration(LENGTH_MOST)),
-            );
+            // A duration's place is not kept by its reader; the key is named instead.
+            let most = humantime::format_duration(LENGTH_MOST);
+            unplaced.push(format!("{file}: length: more than nothing and at most {most}"));
         }
         let named = |words: &[String], fault: &mut dyn FnMut(String)| {
             for word in words {
                 match Group::parse(word) {
-                    Ok(group) if group.last_proxy().is_some_and(|last| last >= plan.proxies) => {
-                        fault(format!("`{word}`: there are {} proxies, from 0", plan.proxies));
+                    Ok(group) if group.last_proxy().is_some_and(|last| last >= proxies) => {
+                        fault(format!("`{word}`: there are {proxies} proxies, from 0"));
                     }
                     Ok(_) => {}
                     Err(why) => fault(why),
@@ -269,6 +271,7 @@
                 here("it would outlast the experiment's length".into());
             }
         }
+        faults.extend(unplaced);
         if faults.is_empty() {
             Ok(plan)
         } else {
@@ -276,6 +279,11 @@
         }
     }
 
+    /// How many real proxies it starts.
+    pub fn proxies(&self) -> usize {
+        *self.proxies.get_ref()
+    }
+
     /// The schedule that the seed makes of it.
     pub fn schedule(&self, seed: u64) -> Schedule {
         let mut steps = Vec::new();
@@ -303,7 +311,7 @@
             let process = step.get_ref();
             let mut rng = Xoshiro256PlusPlus::seed_from_u64(mix(seed, 0x9c0, n as u64));
             let sets = groups(&process.proxies);
-            let mut chosen: Vec<usize> = (0..self.proxies)
+            let mut chosen: Vec<usize> = (0..self.proxies())
                 .filter(|p| sets.iter().any(|g| g.holds(super::board::Party::Proxy(*p))))
                 .collect();
             chosen.shuffle(&mut rng);
@@ -375,5 +383,17 @@
         assert!(unknown.faults[0].starts_with("p.toml:15:1: unknown field `sprad`"), "{unknown}");
         let word = Plan::parse("p.toml", &PLAN.replace("\"kill\"", "\"maim\"")).unwrap_err();
         assert!(word.faults[0].starts_with("p.toml:16:10: unknown variant `maim`"), "{word}");
+        let none = Plan::parse("p.toml", &PLAN.replace("proxies = 6", "proxies = 0")).unwrap_err();
+        assert!(none.faults[0].starts_with("p.toml:3:11: proxies = 0"), "{none}");
+        let long = Plan::parse("p.toml", &format!("length = \"90m\"\n{PLAN}")).unwrap_err();
+        assert!(long.faults.iter().any(|f| f.starts_with("p.toml: length: ")), "{long}");
+    }
+
+    #[test]
+    fn places_are_found_in_any_text() {
+        assert_eq!(place("a\nbé c", 5), (2, 3));
+        // Within a character, or past the end: the place of what comes before.
+        assert_eq!(place("é", 1), (1, 1));
+        assert_eq!(place("ab", 99), (1, 3));
     }
 }
--- a/crates/lab/src/rig/play.rs
+++ b/crates/lab/src/rig/play.rs
@@ -213,7 +213,7 @@
     let (list_asks, list_refused) = (counts.list_asks, counts.list_refused);
     Ok(Outcome {
         seed,
-        proxies: plan.proxies,
+        proxies: plan.proxies(),
         all,
         seconds,
         list_asks,
@@ -263,7 +263,7 @@
     let name = near.map_or(plan.day.clone(), |p| p.display().to_string());
     let day = Day::open(&name).map_err(|e| e.to_string())?;
     let nodes = plan.nodes.unwrap_or(day.site.cache.count);
-    let mut day = day.sized(plan.proxies, nodes).map_err(|e| e.to_string())?;
+    let mut day = day.sized(plan.proxies(), nodes).map_err(|e| e.to_string())?;
     if let Some(length) = plan.length {
         day.length = length;
     }
--- a/crates/lab/src/rig/relay.rs
+++ b/crates/lab/src/rig/relay.rs
@@ -242,7 +242,9 @@
             None => return Ended::Reset,
         };
         let mut chunk = &buf[..n];
-        let left = budget.fetch_sub((n as u64).min(budget.load(Ordering::Relaxed)), Ordering::Relaxed);
+        // Both directions draw on one budget; it never goes below nothing.
+        let take = |left: u64| Some(left.saturating_sub(n as u64));
+        let left = budget.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take).unwrap_or(0);
         let cut = left <= n as u64;
         if cut {
             chunk = &chunk[..left as usize];
--- a/crates/lab/src/rig/tests.rs
+++ b/crates/lab/src/rig/tests.rs
@@ -49,7 +49,8 @@
     stream.write_all(&sent).await.map_err(|e| e.to_string())?;
     let mut got = vec![0u8; n];
     match timeout(within, stream.read_exact(&mut got)).await {
-        Ok(Ok(_)) => Ok(got),
+        Ok(Ok(_)) if got == sent => Ok(got),
+        Ok(Ok(_)) => Err("changed on the way".into()),
         Ok(Err(e)) => Err(e.to_string()),
         Err(_) => Err("silent".into()),
     }
