Seal one value in one file apart from the store of versions

Change: writing beside and renaming, the checksum over all, and putting damaged files aside move from store.rs to sealed.rs, which the store uses; no change in the file's form. Result: the store's tests (any byte flipped or missing is seen, a crash before or after each step) pass unchanged.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod hosted;
 pub mod publisher;
 pub mod rollout;
+pub mod sealed;
 pub mod service;
 pub mod store;
 pub mod version;
--- a/crates/control/src/store.rs
+++ b/crates/control/src/store.rs
@@ -1,69 +1,18 @@
-//! The last good version on disk: one file, written beside and renamed, with a checksum over all of it.
+//! The last good version on disk.
 //!
 //! Weighed: redb keeps many values and survives crashes, but here is one value, written rarely and as a whole, and a file
 //! that those on call can read and copy is worth more than a database.
 
+use crate::sealed::{self, Sealed};
 use crate::version::Version;
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
-use std::fs::File;
-use std::io::{self, Read as _, Write as _};
-use std::path::{Path, PathBuf};
+use std::io;
+use std::path::PathBuf;
 
-/// The first word of the file, and the version of its form.
-const MAGIC: &str = "aniseyoke-version 1";
-/// A larger file is not read, in bytes.
-const MOST: u64 = 64 << 20;
-
-/// What the store does to files, each a step that a crash may come before or after.
-pub trait Files {
-    /// A file's bytes, or none if there is no such file.
-    ///
-    /// # Errors
-    /// If it is there and can't be read.
-    fn read(&mut self, path: &Path) -> io::Result<Option<Vec<u8>>>;
-    /// Makes a file anew with these bytes and has the disk take them.
-    ///
-    /// # Errors
-    /// If not all of that was done; some may have been.
-    fn write(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()>;
-    /// Gives a file another name, over whatever had it, and has the disk take that.
-    ///
-    /// # Errors
-    /// If not all of that was done; some may have been.
-    fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()>;
-}
-
-/// The files of this machine.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Disk;
-
-impl Files for Disk {
-    fn read(&mut self, path: &Path) -> io::Result<Option<Vec<u8>>> {
-        let file = match File::open(path) {
-            Ok(file) => file,
-            Err(e) if e.kind() == io::ErrorKind::NotFound => return Ok(None),
-            Err(e) => return Err(e),
-        };
-        let mut bytes = Vec::new();
-        file.take(MOST + 1).read_to_end(&mut bytes)?;
-        Ok(Some(bytes))
-    }
-
-    fn write(&mut self, path: &Path, bytes: &[u8]) -> io::Result<()> {
-        let mut file = File::create(path)?;
-        file.write_all(bytes)?;
-        file.sync_all()
-    }
+pub use crate::sealed::{Disk, Files};
 
-    fn rename(&mut self, from: &Path, to: &Path) -> io::Result<()> {
-        std::fs::rename(from, to)?;
-        match to.parent() {
-            Some(folder) => File::open(folder)?.sync_all(),
-            None => Ok(()),
-        }
-    }
-}
+/// The first words of the file, and the version of its form.
+const MAGIC: &str = "aniseyoke-version 1";
 
 /// What is kept.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -91,25 +40,12 @@
 }
 
 /// The last good version on disk.
-pub struct Store<F> {
-    files: F,
-    path: PathBuf,
-}
-
-fn beside(path: &Path, ending: &str) -> PathBuf {
-    let mut name = path.as_os_str().to_owned();
-    name.push(ending);
-    name.into()
-}
-
-fn sum(payload: &[u8]) -> String {
-    Sha256::digest(payload).iter().map(|byte| format!("{byte:02x}")).collect()
-}
+pub struct Store<F>(Sealed<F>);
 
 impl<F: Files> Store<F> {
     /// A store in this file.
     pub fn new(files: F, path: PathBuf) -> Self {
-        Store { files, path }
+        Store(Sealed::new(files, path, MAGIC))
     }
 
     /// Keeps a version in place of the one before.
@@ -117,12 +53,7 @@
     /// # Errors
     /// If it could not be kept; the one before is then still there.
     pub fn keep(&mut self, kept: &Kept) -> io::Result<()> {
-        let payload = serde_json::to_vec(kept)?;
-        let mut bytes = format!("{MAGIC} {} {}\n", sum(&payload), payload.len()).into_bytes();
-        bytes.extend(payload);
-        let new = beside(&self.path, ".new");
-        self.files.write(&new, &bytes)?;
-        self.files.rename(&new, &self.path)
+        self.0.keep(&serde_json::to_vec(kept)?)
     }
 
     /// Finds what was kept. A file that is none is put aside and never fatal.
@@ -130,33 +61,18 @@
     /// # Errors
     /// If there is a file that can't be read.
     pub fn find(&mut self) -> io::Result<Found> {
-        let Some(bytes) = self.files.read(&self.path)? else { return Ok(Found::Nothing) };
-        match parse(&bytes) {
-            Ok(kept) => Ok(Found::Good(kept)),
-            Err(why) => {
-                let aside = beside(&self.path, ".damaged");
-                let moved = self.files.rename(&self.path, &aside).is_ok();
-                Ok(Found::Damaged { why, aside: moved.then_some(aside) })
-            }
-        }
+        Ok(match self.0.find()? {
+            sealed::Found::Nothing => Found::Nothing,
+            sealed::Found::Damaged { why, aside } => Found::Damaged { why, aside },
+            sealed::Found::Whole(payload) => match parse(&payload) {
+                Ok(kept) => Found::Good(kept),
+                Err(why) => Found::Damaged { why, aside: self.0.put_aside() },
+            },
+        })
     }
 }
 
-fn parse(bytes: &[u8]) -> Result<Kept, String> {
-    if bytes.len() as u64 > MOST {
-        return Err(format!("it is longer than {MOST} bytes"));
-    }
-    let end = bytes.iter().take(200).position(|b| *b == b'\n').ok_or("its first line has no end")?;
-    let head = std::str::from_utf8(&bytes[..end]).map_err(|_| "its first line is no text")?;
-    let payload = &bytes[end + 1..];
-    let rest = head.strip_prefix(MAGIC).ok_or_else(|| format!("it does not begin with {MAGIC:?}"))?;
-    let (told, length) = rest.trim_start().split_once(' ').ok_or("its first line is cut short")?;
-    if length.parse() != Ok(payload.len()) {
-        return Err(format!("{} bytes are there, and {length} were written", payload.len()));
-    }
-    if told != sum(payload) {
-        return Err("its checksum is another".into());
-    }
+fn parse(payload: &[u8]) -> Result<Kept, String> {
     let kept: Kept = serde_json::from_slice(payload).map_err(|e| format!("it can't be read: {e}"))?;
     kept.version.check().map_err(|e| e.to_string())?;
     Ok(kept)
@@ -169,6 +85,7 @@
     use serde_json::json;
     use std::cell::RefCell;
     use std::collections::BTreeMap;
+    use std::path::Path;
     use std::rc::Rc;
 
     fn kept(number: u64) -> Kept {
