Ask the list service at own moments, keep its list on disk, cap connections opened

Ruled out: the module's own waits after a failure (no call failed).

Change: crates/pace, without I/O or clock, gives each proxy moments of its own in a cycle that all share, from its number and the fleet's size in the settings. The list service is asked at these moments only, with back-off, Retry-After and longer waits for late answers; a connection to a node is opened at such moments or with one saved leave; a kept list is judged by site, age and version. [list] and [opening] in the operator's file, off otherwise. A kept list that is damaged, old, ahead of the clock, or of another site is named in the log and not used; the door tells where the list came from and how old it is.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -250,7 +250,7 @@
             "f.toml:4:10: log.format: \"xml\" is none of plain, json",
             "f.toml:6:12: limits.queue.interval: a text with a time and its unit, such as \"100ms\" is wanted, not a whole number",
             "f.toml:7:10: limits.queue.target: \"5\" is no time with a unit",
-            "f.toml:8:2: nothing: there is no such key; there is control, features, limits, log, overlays, pools, routes, tenants",
+            "f.toml:8:2: nothing: there is no such key; there is control, features, limits, list, log, opening, overlays, pools, routes, tenants",
         ];
         assert_eq!(told.len(), wanted.len(), "{told:#?}");
         for want in wanted {
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -1,6 +1,9 @@
 //! Every key of the operator's file. A doc comment here is what `config explain` prints.
 
 mod faults;
+mod start;
+
+pub use start::{List, Opening};
 
 use aniseyoke_core::limits::Rules;
 use schemars::JsonSchema;
@@ -24,6 +27,14 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     #[schemars(extend("x-since" = "0.3", "x-apply" = "restart"))]
     pub control: Option<Control>,
+    /// How the list service is asked, and whether its list is kept over restarts; off where it is not named.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.5", "x-apply" = "restart"))]
+    pub list: Option<List>,
+    /// Connections that all proxies together open to one machine; not limited where it is not named.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.5", "x-apply" = "restart"))]
+    pub opening: Option<Opening>,
     /// Tenants by the name that the platform gives them.
     pub tenants: BTreeMap<String, Tenant>,
     /// Named parts of the fleet, which routes point to.
--- /dev/null
+++ b/crates/config/src/model/start.rs
@@ -0,0 +1,70 @@
+//! How a proxy behaves when many start at once: the list service and new connections.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// How this proxy asks the list service: at its own moments of a cycle that all proxies share, so that together they
+/// never ask more than once each in a cycle.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct List {
+    /// The cycle: calls come no closer than this; without it, a quarter of the time in which the platform wants the list
+    /// asked for.
+    #[serde(with = "humantime_serde", skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<String>", extend("x-kind" = "duration", "x-since" = "0.5", "x-apply" = "restart", "x-least" = "100ms", "x-most" = "30s"))]
+    pub every: Option<Duration>,
+    /// After failures and refusals the wait between calls doubles up to this.
+    #[serde(with = "humantime_serde")]
+    #[schemars(with = "String", extend("x-kind" = "duration", "x-since" = "0.5", "x-apply" = "restart", "x-least" = "100ms", "x-most" = "5m"))]
+    pub back_off_most: Duration,
+    /// A service whose answers come late is given longer for the next, up to this.
+    #[serde(with = "humantime_serde")]
+    #[schemars(with = "String", extend("x-kind" = "duration", "x-since" = "0.5", "x-apply" = "restart", "x-least" = "1s", "x-most" = "1m"))]
+    pub answer_most: Duration,
+    /// A folder of this proxy alone that keeps the last list over restarts, from the folder where it starts; without it a
+    /// restart begins with what the platform tells.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.5", "x-apply" = "restart"))]
+    pub keep: Option<PathBuf>,
+    /// A kept list older than this is not used.
+    #[serde(with = "humantime_serde")]
+    #[schemars(with = "String", extend("x-kind" = "duration", "x-since" = "0.5", "x-apply" = "restart", "x-least" = "1s", "x-most" = "1d"))]
+    pub fresh_for: Duration,
+    /// The site's name, so that a list kept at another site is known; without it, the address of the list service.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(extend("x-since" = "0.5", "x-apply" = "restart"))]
+    pub site: Option<String>,
+}
+
+impl Default for List {
+    fn default() -> Self {
+        List {
+            every: None,
+            back_off_most: Duration::from_secs(10),
+            answer_most: Duration::from_secs(10),
+            keep: None,
+            fresh_for: Duration::from_secs(600),
+            site: None,
+        }
+    }
+}
+
+/// Connections that all proxies together open to one machine. Each proxy opens its part, at its own moments.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct Opening {
+    /// To one cache node.
+    #[schemars(range(min = 0.1, max = 1e6), extend("x-since" = "0.5", "x-apply" = "restart", "x-unit" = "connections a second"))]
+    pub per_node: f64,
+    /// To the origin.
+    #[schemars(range(min = 0.1, max = 1e6), extend("x-since" = "0.5", "x-apply" = "restart", "x-unit" = "connections a second"))]
+    pub origin: f64,
+}
+
+impl Default for Opening {
+    fn default() -> Self {
+        Opening { per_node: 100.0, origin: 400.0 }
+    }
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -1,7 +1,7 @@
 //! What the platform tells a proxy: the `PROXY_*` variables and the JSON file that they name.
 
 use aniseyoke_decision::api::{server_id, Entry, Nanos, Settings, State};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -10,6 +10,9 @@
 /// Sockets that a proxy may hold where nothing is said.
 const SOCKETS: usize = 1024;
 
+/// The state of a node that has left the list.
+const GONE: &str = "gone";
+
 /// Megabytes that it may hold where nothing is said.
 const MEMORY_MB: usize = 64;
 
@@ -40,7 +43,7 @@
 }
 
 /// A list of cache nodes in discovery's form.
-#[derive(Clone, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Members {
     pub version: u64,
     pub full: bool,
@@ -48,7 +51,7 @@
 }
 
 /// A cache node in discovery's form.
-#[derive(Clone, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     id: String,
     #[serde(default)]
@@ -66,6 +69,18 @@
     started_ms: Option<f64>,
 }
 
+impl Member {
+    /// What it is known by.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Whether it has left the list.
+    pub fn gone(&self) -> bool {
+        self.state == GONE
+    }
+}
+
 impl Names {
     /// The module's form of a list.
     pub fn entries(&self, members: &Members) -> Vec<(Entry, Option<SocketAddr>)> {
@@ -86,7 +101,7 @@
             cell: m.cell.unwrap_or(0),
             state: match m.state.as_str() {
                 "ready" => State::Ready,
-                "gone" => State::Gone,
+                GONE => State::Gone,
                 // A state that is new here gets nothing new.
                 _ => State::Draining,
             },
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,4 +1,11 @@
-//! Follows the list of cache nodes: a watch at discovery, renewed at once after each answer.
+//! Follows the list of cache nodes: a watch at discovery, renewed at once after each answer, or at this proxy's own moments
+//! where the operator's file says so (`paced`).
+
+mod kept;
+mod paced;
+
+pub use kept::begin;
+pub use paced::{nanos, Held, Paced};
 
 use super::config::{Members, Names};
 use super::socket::{Descriptors, Io, Socket};
@@ -7,9 +14,10 @@
 use aniseyoke_decision::api::{ListKind, Nanos};
 use http_body_util::{BodyExt, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::HOST;
+use hyper::header::{HeaderMap, HOST, RETRY_AFTER};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,16 +48,59 @@
     names: Rc<Names>,
     /// At an address that has not answered yet: the wait before the next call.
     again: Option<Duration>,
+    /// When calls may go out, where that is limited.
+    paced: Option<Paced>,
+}
+
+/// Why there is no list.
+enum Fault {
+    /// The service wants no call now, and perhaps says for how long.
+    Refused(StatusCode, Option<Duration>),
+    /// No answer in time.
+    Late,
+    /// Anything else.
+    Broken(String),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Refused(status, None) => write!(f, "answered {}", status.as_u16()),
+            Fault::Refused(status, Some(after)) => {
+                write!(f, "answered {}, to be asked again in {} s", status.as_u16(), after.as_secs_f64())
+            }
+            Fault::Late => f.write_str("no answer in time"),
+            Fault::Broken(why) => f.write_str(why),
+        }
+    }
+}
+
+impl From<String> for Fault {
+    fn from(why: String) -> Self {
+        Fault::Broken(why)
+    }
+}
+
+/// What an answer advises, in seconds, whole or decimal; a date is not heeded.
+fn advised(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
 }
 
 impl Discovery {
-    pub fn new(addr: SocketAddr, version: Option<u64>, must_ask_in: Nanos, names: Rc<Names>) -> Self {
+    pub fn new(
+        addr: SocketAddr,
+        version: Option<u64>,
+        must_ask_in: Nanos,
+        names: Rc<Names>,
+        paced: Option<Paced>,
+    ) -> Self {
         // Half the time in which the list must be asked for: a watch that died unseen is replaced before the
         // proxy counts as told what it never heard.
         let hold =
             Duration::from_nanos(must_ask_in / 2).clamp(Duration::from_secs(1), Duration::from_secs(20));
         let descriptors = Descriptors::new(DESCRIPTORS);
-        Discovery { addr, version, hold, descriptors, sender: None, names, again: None }
+        Discovery { addr, version, hold, descriptors, sender: None, names, again: None, paced }
     }
 
     /// Starts a watch each time that the module asks for one, and follows it until it breaks. An address that comes
@@ -77,6 +128,17 @@
         moved: &mut mpsc::UnboundedReceiver<SocketAddr>,
     ) {
         loop {
+            if let Some(wait) = self.paced.as_ref().map(Paced::wait) {
+                tokio::select! {
+                    biased;
+                    Some(addr) = moved.recv() => {
+                        self.move_to(addr);
+                        continue;
+                    }
+                    () = tokio::time::sleep(wait) => {}
+                }
+                self.paced.iter_mut().for_each(Paced::asked);
+            }
             // Danger: a standing watch at the old address says nothing for many seconds, and then that it is gone.
             let called = tokio::select! {
                 biased;
@@ -90,12 +152,14 @@
                 Ok(members) => {
                     self.version = Some(members.version);
                     self.again = None;
+                    self.paced.iter_mut().for_each(|p| p.answered(&members));
                     let kind = if members.full { ListKind::Full } else { ListKind::Delta };
                     engine.list(kind, &self.names.entries(&members));
                 }
                 Err(e) => {
                     tracing::warn!("discovery at {}: {e}", self.addr);
                     self.sender = None;
+                    self.paced.iter_mut().for_each(|p| p.failed(&e));
                     // Danger: the module's waits after a failure are made for a discovery that is down, and are
                     // longer than the time in which the news of a new one must be known.
                     let Some(wait) = self.again else {
@@ -119,23 +183,32 @@
     fn move_to(&mut self, addr: SocketAddr) {
         tracing::info!("discovery is now at {addr}");
         (self.addr, self.version, self.sender, self.again) = (addr, None, None, Some(AGAIN));
+        self.paced.iter_mut().for_each(Paced::moved);
     }
 
-    async fn call(&mut self) -> Result<Members, String> {
-        let limit = self.version.map_or(WHOLE, |_| self.hold + GRACE);
+    /// How long a watch is held that goes out now.
+    fn hold(&self) -> Duration {
+        self.paced.as_ref().map_or(self.hold, Paced::hold)
+    }
+
+    async fn call(&mut self) -> Result<Members, Fault> {
+        let limit = match &self.paced {
+            Some(paced) => self.version.map_or(Duration::ZERO, |_| paced.hold()) + paced.answer_within(),
+            None => self.version.map_or(WHOLE, |_| self.hold + GRACE),
+        };
         let kept = self.sender.is_some();
         match tokio::time::timeout(limit, self.exchange()).await {
-            Err(_) => Err("no answer in time".into()),
-            Ok(Err(_)) if kept && self.sender.is_none() => {
+            Err(_) => Err(Fault::Late),
+            Ok(Err(Fault::Broken(_))) if kept && self.sender.is_none() => {
                 // A kept connection that has ended says nothing of discovery; a watch must go on at once.
                 let again = tokio::time::timeout(limit, self.exchange()).await;
-                again.unwrap_or_else(|_| Err("no answer in time".into()))
+                again.unwrap_or(Err(Fault::Late))
             }
             Ok(done) => done,
         }
     }
 
-    async fn exchange(&mut self) -> Result<Members, String> {
+    async fn exchange(&mut self) -> Result<Members, Fault> {
         let mut sender = match self.sender.take() {
             Some(sender) => sender,
             None => self.connect().await?,
@@ -144,7 +217,7 @@
         let path = match self.version {
             None => "/catalog/members".to_owned(),
             // Danger: 0 is a version like any other; without it each call is for the whole list, and no watch.
-            Some(version) => format!("/catalog/members?from={version}&hold_ms={}", self.hold.as_millis()),
+            Some(version) => format!("/catalog/members?from={version}&hold_ms={}", self.hold().as_millis()),
         };
         let request = Request::get(path).header(HOST, self.addr.to_string()).body(Body::default());
         let response = sender.send_request(request.map_err(|e| e.to_string())?).await;
@@ -153,9 +226,9 @@
             Limited::new(body, LIST_MOST).collect().await.map_err(|e| format!("broken answer: {e}"))?;
         self.sender = Some(sender);
         if head.status != StatusCode::OK {
-            return Err(format!("answered {}", head.status.as_u16()));
+            return Err(Fault::Refused(head.status, advised(&head.headers)));
         }
-        serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("not a list: {e}"))
+        serde_json::from_slice(&body.to_bytes()).map_err(|e| Fault::Broken(format!("not a list: {e}")))
     }
 
     async fn connect(&self) -> Result<SendRequest<Body>, String> {
--- /dev/null
+++ b/crates/proxy/src/discovery/kept.rs
@@ -0,0 +1,176 @@
+//! The list of nodes on disk, over restarts: found and judged at the start, and kept as the service tells it.
+
+use super::paced::{Held, Source};
+use crate::config::{Config, Member, Members};
+use crate::keeping::Keeping;
+use crate::wall::unix_ms;
+use aniseyoke_config::model::List;
+use aniseyoke_control::sealed::{Disk, Found, Sealed};
+use aniseyoke_pace::kept::{judge, Label};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// The file in the folder.
+const KEPT: &str = "aniseyoke-list";
+/// Its first words, and the version of its form.
+const MAGIC: &str = "aniseyoke-list 1";
+/// While nothing changes it is written anew after this part of the time for which it counts, so that it stays fresh.
+const ANEW_PART: u32 = 8;
+/// Entries of a list; with more it is not kept.
+const ENTRIES_MOST: usize = 1 << 16;
+
+/// What stands in the file.
+#[derive(Serialize, Deserialize)]
+struct Kept {
+    site: String,
+    at_ms: u64,
+    list: Members,
+}
+
+/// The list as the service tells it, and the writer of its file.
+pub struct Keeper {
+    site: String,
+    /// By id; none: not told whole yet.
+    entries: Option<BTreeMap<String, Member>>,
+    version: Option<u64>,
+    written: Option<Instant>,
+    anew: Duration,
+    keeping: Keeping<Kept>,
+}
+
+/// What a list has to be of to be used here: the site, and the names that its entries use.
+fn site_of(rules: &List, config: &Config) -> String {
+    let site = rules.site.clone().unwrap_or_else(|| config.discovery.to_string());
+    let names = &config.names;
+    format!("{site}, zones {}, kinds {}", names.zones.join("+"), names.kinds.join("+"))
+}
+
+/// Begins with the list on disk in place of the platform's, if it may be used. Returns what is held, and who keeps what
+/// the service tells, if that is asked for. A file that may not be used is named in the log, and costs no start.
+pub fn begin(rules: &List, config: &mut Config) -> (Rc<Held>, Option<Keeper>) {
+    let platform = |config: &Config| match &config.known {
+        Some(known) => Held::new(Source::Platform, Some(known.version), None),
+        None => Held::new(Source::Nothing, None, None),
+    };
+    let Some(folder) = &rules.keep else { return (platform(config), None) };
+    let site = site_of(rules, config);
+    let file = folder.join(KEPT);
+    let found = find(&file, &site, rules.fresh_for, config);
+    let held = match &found {
+        Some(kept) => {
+            config.known = Some(kept.list.clone());
+            let at = Duration::from_millis(kept.at_ms);
+            Held::new(Source::Disk, Some(kept.list.version), Some(at))
+        }
+        None => platform(config),
+    };
+    let keeper = Keeper::start(folder, file, site, rules.fresh_for / ANEW_PART, found);
+    (held, keeper.map_err(|why| tracing::warn!("the list is not kept: {why}")).ok())
+}
+
+/// The list in a file, if it may be used.
+fn find(file: &Path, site: &str, fresh_for: Duration, config: &Config) -> Option<Kept> {
+    let name = file.display();
+    let kept: Kept = match Sealed::new(Disk, file.to_owned(), MAGIC).find() {
+        Ok(Found::Nothing) => return None,
+        Ok(Found::Whole(payload)) => match serde_json::from_slice(&payload) {
+            Ok(kept) => kept,
+            Err(e) => {
+                tracing::warn!("{name}: the kept list can't be read and is not used: {e}");
+                return None;
+            }
+        },
+        Ok(Found::Damaged { why, aside }) => {
+            let aside = aside.map_or("left".to_owned(), |to| format!("put aside as {}", to.display()));
+            tracing::warn!("{name}: the kept list is damaged, not used and {aside}: {why}");
+            return None;
+        }
+        Err(e) => {
+            tracing::warn!("{name}: the kept list can't be read and is not used: {e}");
+            return None;
+        }
+    };
+    let label = Label { site: kept.site.clone(), version: kept.list.version, at_ms: kept.at_ms };
+    let known = config.known.as_ref().map(|known| known.version);
+    match judge(&label, site, known, unix_ms(), fresh_for) {
+        Ok(age) => {
+            let (entries, version) = (kept.list.servers.len(), kept.list.version);
+            let age = age.as_secs();
+            tracing::info!(
+                "{name}: begun with version {version} of the list, {entries} entries, {age} s old"
+            );
+            Some(kept)
+        }
+        Err(unfit) => {
+            tracing::warn!("{name}: the kept list is not used: {unfit}");
+            None
+        }
+    }
+}
+
+impl Keeper {
+    fn start(
+        folder: &Path,
+        file: PathBuf,
+        site: String,
+        anew: Duration,
+        found: Option<Kept>,
+    ) -> Result<Self, String> {
+        std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        let mut store = Sealed::new(Disk, file, MAGIC);
+        let mut failing = false;
+        let write = move |kept: Kept| {
+            let payload = serde_json::to_vec(&kept).map_err(std::io::Error::from);
+            let done = payload.and_then(|payload| store.keep(&payload));
+            match (&done, failing) {
+                (Err(e), false) => {
+                    tracing::warn!("{}: the list could not be kept: {e}", store.path().display());
+                }
+                (Ok(()), true) => tracing::info!("{}: the list is kept again", store.path().display()),
+                _ => {}
+            }
+            failing = done.is_err();
+        };
+        let keeping = Keeping::start(write).map_err(|e| format!("no thread: {e}"))?;
+        // What the service tells next may be changes to the list that was found.
+        let version = found.as_ref().map(|kept| kept.list.version);
+        let entries = found.map(|kept| by_id(&kept.list));
+        Ok(Keeper { site, entries, version, written: None, anew, keeping })
+    }
+
+    /// The service has told the list or changes of it, perhaps none.
+    pub fn told(&mut self, members: &Members) {
+        if members.full {
+            self.entries = Some(by_id(members));
+        }
+        // Changes to a list that the platform told are no list; the next whole one is kept.
+        let Some(entries) = &mut self.entries else { return };
+        for member in members.servers.iter().filter(|_| !members.full) {
+            if member.gone() {
+                entries.remove(member.id());
+            } else {
+                entries.insert(member.id().to_owned(), member.clone());
+            }
+        }
+        if entries.len() > ENTRIES_MOST {
+            self.entries = None;
+            return;
+        }
+        let changed = self.version.replace(members.version) != Some(members.version);
+        if !changed && self.written.is_some_and(|at| at.elapsed() < self.anew) {
+            return;
+        }
+        self.written = Some(Instant::now());
+        let list =
+            Members { version: members.version, full: true, servers: entries.values().cloned().collect() };
+        self.keeping.keep(Kept { site: self.site.clone(), at_ms: unix_ms(), list });
+    }
+}
+
+fn by_id(list: &Members) -> BTreeMap<String, Member> {
+    let listed = list.servers.iter().filter(|m| !m.gone());
+    listed.map(|m| (m.id().to_owned(), m.clone())).collect()
+}
--- /dev/null
+++ b/crates/proxy/src/discovery/paced.rs
@@ -0,0 +1,159 @@
+//! When the list service is asked, where the operator's file limits that, and what is told of it.
+
+use super::kept::Keeper;
+use super::Fault;
+use crate::config::Members;
+use crate::wall::unix;
+use aniseyoke_config::model::List;
+use aniseyoke_pace::asks::Rules;
+use aniseyoke_pace::{Asks, Nanos, Place};
+use serde_json::json;
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// How long the service may take at first, beyond the wait that it was asked for.
+const ANSWER: Duration = Duration::from_millis(1200);
+
+pub fn nanos(time: Duration) -> Nanos {
+    u64::try_from(time.as_nanos()).unwrap_or(Nanos::MAX)
+}
+
+/// Whence the list that is held came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// There is none.
+    Nothing,
+    /// The platform told it at the start.
+    Platform,
+    /// It was kept on disk.
+    Disk,
+    /// The service told it.
+    Service,
+}
+
+/// What is told at the operators' door of the list that is held.
+pub struct Held {
+    source: Cell<Source>,
+    version: Cell<Option<u64>>,
+    /// When it was last known to be right; none: never.
+    at: Cell<Option<Duration>>,
+    calls: Cell<u64>,
+    refused: Cell<u64>,
+    failed: Cell<u64>,
+}
+
+impl Held {
+    /// A list of a version that was known to be right at a time.
+    pub fn new(source: Source, version: Option<u64>, at: Option<Duration>) -> Rc<Self> {
+        Rc::new(Held {
+            source: Cell::new(source),
+            version: Cell::new(version),
+            at: Cell::new(at),
+            calls: Cell::default(),
+            refused: Cell::default(),
+            failed: Cell::default(),
+        })
+    }
+
+    /// As the door tells it.
+    pub fn told(&self) -> serde_json::Value {
+        let source = match self.source.get() {
+            Source::Nothing => "nothing",
+            Source::Platform => "platform",
+            Source::Disk => "disk",
+            Source::Service => "service",
+        };
+        let age = self.at.get().map(|at| unix().saturating_sub(at).as_secs_f64());
+        json!({"from": source, "version": self.version.get(), "age_s": age, "calls": self.calls.get(),
+               "refused": self.refused.get(), "failed": self.failed.get()})
+    }
+}
+
+/// When calls go out, what is kept of their answers, and what is told of both.
+pub struct Paced {
+    asks: Asks,
+    began: Instant,
+    held: Rc<Held>,
+    keeper: Option<Keeper>,
+}
+
+impl Paced {
+    /// By the operator's word and the platform's.
+    pub fn new(
+        rules: &List,
+        must_ask_in: Nanos,
+        place: Place,
+        held: Rc<Held>,
+        keeper: Option<Keeper>,
+    ) -> Self {
+        let every = rules.every.map_or_else(|| Rules::every_by(must_ask_in), nanos);
+        let rules = Rules {
+            every,
+            back_off_most: nanos(rules.back_off_most),
+            answer: nanos(ANSWER),
+            answer_most: nanos(rules.answer_most),
+        };
+        let asks = Asks::new(rules, place, nanos(unix()), 0);
+        Paced { asks, began: Instant::now(), held, keeper }
+    }
+
+    fn now(&self) -> Nanos {
+        nanos(self.began.elapsed())
+    }
+
+    /// How long until the next call may go out.
+    pub fn wait(&self) -> Duration {
+        let now = self.now();
+        Duration::from_nanos(self.asks.due(now) - now)
+    }
+
+    pub fn hold(&self) -> Duration {
+        Duration::from_nanos(self.asks.hold(self.now()))
+    }
+
+    pub fn answer_within(&self) -> Duration {
+        Duration::from_nanos(self.asks.answer_within())
+    }
+
+    /// A call goes out.
+    pub fn asked(&mut self) {
+        self.asks.asked(self.now());
+        self.held.calls.set(self.held.calls.get() + 1);
+    }
+
+    /// The service has told the list, or that nothing of it changed.
+    pub fn answered(&mut self, members: &Members) {
+        self.asks.answered();
+        if self.held.source.replace(Source::Service) != Source::Service {
+            tracing::info!("the list service tells version {}", members.version);
+        }
+        self.held.version.set(Some(members.version));
+        self.held.at.set(Some(unix()));
+        self.keeper.iter_mut().for_each(|k| k.told(members));
+    }
+
+    pub(super) fn failed(&mut self, fault: &Fault) {
+        let now = self.now();
+        let count = |of: &Cell<u64>| of.set(of.get() + 1);
+        match fault {
+            Fault::Refused(_, after) => {
+                count(&self.held.refused);
+                self.asks.refused(now, after.map(nanos));
+            }
+            Fault::Late => {
+                count(&self.held.failed);
+                self.asks.late(now);
+            }
+            Fault::Broken(_) => {
+                count(&self.held.failed);
+                self.asks.failed(now);
+            }
+        }
+    }
+
+    /// The service is at another address.
+    pub fn moved(&mut self) {
+        self.asks.moved(self.now());
+    }
+}
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -12,8 +12,9 @@
 use crate::budget::Budget;
 use crate::config::{Config, Names};
 use crate::control::Control;
-use crate::discovery::{self, Discovery};
+use crate::discovery::{self, Discovery, Held, Paced};
 use crate::drain::Drain;
+use crate::opening::Opening;
 use crate::peers::Peers;
 use crate::socket::Descriptors;
 use crate::state::Store;
@@ -68,6 +69,12 @@
 pub struct Beyond {
     /// What the core is to work by.
     pub plan: Arc<Plan>,
+    /// When the list service may be asked, where that is limited.
+    pub paced: Option<Paced>,
+    /// What is told of the list then.
+    pub held: Option<Rc<Held>>,
+    /// Leave to open connections, where that is limited.
+    pub opening: Option<Opening>,
     /// Memory that is no connection's beside what every proxy keeps, in bytes.
     pub reserve: usize,
     /// What a call for the version is told; it changes with versions from a control service.
@@ -108,14 +115,15 @@
     let budget = Budget::new(places.held(&others));
     let settings = config.settings.clone();
     let (connect_timeout, conn_idle) = (config.connect_timeout, settings.conn_idle);
-    let upstreams = Upstreams::new(descriptors.clone(), budget.clone(), connect_timeout, conn_idle);
+    let upstreams =
+        Upstreams::new(descriptors.clone(), budget.clone(), connect_timeout, conn_idle, beyond.opening);
     let (watch, asked) = mpsc::unbounded_channel();
     let (mgmt, drain) = (config.mgmt, Rc::<Drain>::default());
     // Danger: who asks for what is newer than an old list hears nothing while nothing is, and can't tell it from a
     // discovery that is down. A process that takes over asks for the whole list.
     let version = config.known.as_ref().filter(|_| !handed).map(|known| known.version);
     let (addr, names) = (config.discovery, Rc::new(config.names));
-    let discovery = Discovery::new(addr, version, settings.must_ask_in, names.clone());
+    let discovery = Discovery::new(addr, version, settings.must_ask_in, names.clone(), beyond.paced);
     let known = config.known.as_ref().map_or_else(Vec::new, |known| names.entries(known));
     let engine = Engine::new(beyond.plan, config.seed, &known, upstreams.clone(), watch);
     let engine = engine.map_err(|fault| fault.to_string())?;
@@ -171,7 +179,7 @@
             crowded.thin();
         }
     });
-    let control = Control::new(engine.clone(), drain, Store::open(dir), beyond.about);
+    let control = Control::new(engine.clone(), drain, Store::open(dir), beyond.about, beyond.held);
     if let Some(mgmt) = mgmt {
         let control = control.clone();
         let act = move |call| {
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -11,6 +11,8 @@
 pub mod drain;
 pub mod front;
 mod handover;
+mod keeping;
+mod opening;
 pub mod operator;
 mod peers;
 mod plan;
@@ -23,6 +25,7 @@
 mod upload;
 mod upstream;
 mod versions;
+mod wall;
 
 use http_body_util::Full;
 use hyper::body::Bytes;
--- /dev/null
+++ b/crates/proxy/src/opening.rs
@@ -0,0 +1,59 @@
+//! Leave to open connections, where the operator's file limits what all proxies together open to one machine.
+
+use crate::discovery::nanos;
+use crate::wall::unix;
+use aniseyoke_config::model::Opening as Rules;
+use aniseyoke_decision::api::{Entry, ServerId, State};
+use aniseyoke_pace::{Nanos, Opens, Place};
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::time::{Duration, Instant};
+
+/// This proxy's part of what is opened to each machine.
+pub struct Opening {
+    rules: Rules,
+    origin_kind: Option<u32>,
+    opens: Opens,
+    /// The start of each machine's process: one that was restarted is new to all proxies at once.
+    started: FxHashMap<ServerId, Nanos>,
+    began: Instant,
+}
+
+impl Opening {
+    pub fn new(rules: Rules, origin_kind: Option<u32>, place: Place) -> Self {
+        let opens = Opens::new(place, nanos(unix()), 0);
+        Opening { rules, origin_kind, opens, started: FxHashMap::default(), began: Instant::now() }
+    }
+
+    fn now(&self) -> Nanos {
+        nanos(self.began.elapsed())
+    }
+
+    /// News of the list; `whole` when what it does not name is gone.
+    pub fn update<'a>(&mut self, whole: bool, entries: impl Iterator<Item = &'a Entry> + Clone) {
+        let now = self.now();
+        if whole {
+            let named: FxHashSet<ServerId> = entries.clone().map(|e| e.server).collect();
+            self.opens.retain(|server| named.contains(&server));
+            self.started.retain(|server, _| named.contains(server));
+        }
+        for entry in entries {
+            let server = entry.server;
+            if entry.state == State::Gone {
+                self.opens.gone(server);
+                self.started.remove(&server);
+                continue;
+            }
+            if self.started.insert(server, entry.started).is_some_and(|before| before != entry.started) {
+                self.opens.gone(server);
+            }
+            let origin = self.origin_kind == Some(entry.kind);
+            let rate = if origin { self.rules.origin } else { self.rules.per_node };
+            self.opens.listed(now, server, rate);
+        }
+    }
+
+    /// Takes leave to open a connection; or how long to wait for the next.
+    pub fn take(&mut self, server: ServerId) -> Result<(), Duration> {
+        self.opens.take(self.now(), server).map_err(Duration::from_nanos)
+    }
+}
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -95,7 +95,12 @@
         assert_eq!(read(shipped), Operator::default());
         let on: String =
             shipped.lines().map(|l| format!("{}\n", l.strip_prefix("#: ").unwrap_or(l))).collect();
-        let wanted = Operator { limits: Some(Default::default()), ..Operator::default() };
+        let wanted = Operator {
+            limits: Some(Default::default()),
+            list: Some(Default::default()),
+            opening: Some(Default::default()),
+            ..Operator::default()
+        };
         assert_eq!(read(&on), wanted);
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -1,13 +1,16 @@
 //! Starts the proxy as the environment and the operator's file say, rereads both on SIGHUP, and ends it on SIGTERM or SIGINT.
 
 use crate::config::Config;
+use crate::discovery::{self, Paced};
 use crate::front::Beyond;
+use crate::opening::Opening;
 use crate::versions::{last_good, reserve, Below, InForce, Serving, Subscription};
 use crate::{front, operator};
 use aniseyoke_config::layers::Resolved;
 use aniseyoke_config::Fault;
 use aniseyoke_control::Version;
 use aniseyoke_logging::Handle;
+use aniseyoke_pace::Place;
 use std::cell::RefCell;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -50,7 +53,7 @@
     let control = resolved.operator.control.clone();
     let last = control.as_ref().and_then(|control| last_good(control, &below));
     let (resolved, plan) = below.with(last.as_ref()).map_err(|faults| told(&faults))?;
-    let (config, last) = (below.platform.clone(), last.map(Arc::new));
+    let (mut config, last) = (below.platform.clone(), last.map(Arc::new));
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| one(format!("SIGTERM: {e}")))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| one(format!("SIGINT: {e}")))?;
     let stop = async move {
@@ -64,10 +67,21 @@
     let (each_second, again, swapped) = (log.clone(), log.clone(), log);
     let about = Rc::new(RefCell::new(about(&resolved, file.as_deref(), last.as_deref())));
     let platform = below.clone();
+    let place = Place::new(plan.settings.me, plan.settings.proxies);
+    let paced = resolved.operator.list.as_ref().map(|rules| {
+        let (held, keeper) = discovery::begin(rules, &mut config);
+        (Paced::new(rules, plan.settings.must_ask_in, place, held.clone(), keeper), held)
+    });
+    let (paced, held) = paced.unzip();
+    let opening = resolved.operator.opening.clone();
+    let opening = opening.map(|rules| Opening::new(rules, plan.settings.origin_kind, place));
     let in_force = Rc::new(RefCell::new(InForce { operator: resolved.operator, version: last.clone() }));
     let (rereads, told_about) = (in_force.clone(), about.clone());
     let beyond = Beyond {
         plan: Arc::new(plan),
+        paced,
+        held,
+        opening,
         reserve: control.as_ref().map_or(0, |_| reserve(config.memory)),
         about,
         started: Box::new(move |engine, at| {
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -1,6 +1,7 @@
 //! Connections to cache nodes and the origin, and one attempt on one of them with its outcome.
 
 use super::budget::Budget;
+use super::opening::Opening;
 use super::relay::{Outgoing, Relay};
 use super::socket::{Descriptors, Io, Socket};
 use super::upload::{Payload, Sending};
@@ -35,6 +36,8 @@
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 /// An answer of unknown length that is not whole so long after its head is passed on as it comes.
 const HOLD: Duration = Duration::from_millis(20);
+/// Who waits for leave to open a connection looks this often for one that has become idle.
+const LEAVE_LOOK: Duration = Duration::from_millis(20);
 const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
@@ -145,6 +148,8 @@
     connect_timeout: Duration,
     idle_most: Duration,
     epochs: Cell<u64>,
+    /// Leave to open connections, where that is limited.
+    opening: Option<RefCell<Opening>>,
 }
 
 impl Fleet for Upstreams {
@@ -153,6 +158,9 @@
     type Tether = Tether;
 
     fn update(&self, whole: bool, entries: &[(Entry, Option<SocketAddr>)]) {
+        if let Some(opening) = &self.opening {
+            opening.borrow_mut().update(whole, entries.iter().map(|(entry, _)| entry));
+        }
         let mut nodes = self.nodes.borrow_mut();
         if whole {
             let named: FxHashSet<ServerId> = entries.iter().map(|(e, _)| e.server).collect();
@@ -221,6 +229,7 @@
         budget: Rc<Budget>,
         connect_timeout: Duration,
         conn_idle: Nanos,
+        opening: Option<Opening>,
     ) -> Rc<Self> {
         // Danger: a request written to a connection that its node is just closing ends as a reset, and may
         // have run. The node counts from its own last byte, so leave it a good part of the time.
@@ -229,8 +238,8 @@
             limit => Duration::from_nanos(limit / 4 * 3),
         };
         let (nodes, banned) = (RefCell::default(), RefCell::default());
-        let epochs = Cell::new(0);
-        Rc::new(Upstreams { nodes, banned, descriptors, budget, connect_timeout, idle_most, epochs })
+        let (epochs, opening) = (Cell::new(0), opening.map(RefCell::new));
+        Rc::new(Upstreams { nodes, banned, descriptors, budget, connect_timeout, idle_most, epochs, opening })
     }
 
     /// Closes idle connections that have ended or stood too long.
@@ -274,10 +283,12 @@
     ) -> Ended {
         let due = Instant::now() + wait;
         loop {
-            // Danger: what an attempt has read of an upload is gone with it.
+            // Danger: a wait for leave must come before the body is taken up: what an attempt has read of an upload is
+            // gone with it.
+            let Some(idle) = self.leave(server, due, wait).await else { return Status::Moot.into() };
             let Some(body) = job.body.send() else { return Status::Moot.into() };
             let Some((addr, epoch)) = self.open_to(server) else { return Status::Moot.into() };
-            let (mut connection, reused) = match self.newest(server) {
+            let (mut connection, reused) = match idle.or_else(|| self.newest(server)) {
                 Some(connection) => (connection, true),
                 None => match self.connect(addr).await {
                     Ok(connection) => (connection, false),
@@ -386,6 +397,24 @@
         Read::Whole(Ended { status, hit, load, answer })
     }
 
+    /// Waits for leave to open a connection, or for one that has become idle meanwhile, which is returned. None if
+    /// more than half of the attempt's time would go by: another node may have room sooner. Danger: to call that a
+    /// failed connection would blame the node.
+    async fn leave(&self, server: ServerId, due: Instant, wait: Duration) -> Option<Option<Connection>> {
+        let Some(opening) = &self.opening else { return Some(None) };
+        let until = due - wait / 2;
+        loop {
+            if let Some(connection) = self.newest(server) {
+                return Some(Some(connection));
+            }
+            let Err(later) = opening.borrow_mut().take(server) else { return Some(None) };
+            if Instant::now() + later > until || self.open_to(server).is_none() {
+                return None;
+            }
+            sleep(later.min(LEAVE_LOOK)).await;
+        }
+    }
+
     /// Where a node takes new work.
     fn open_to(&self, server: ServerId) -> Option<(SocketAddr, u64)> {
         let nodes = self.nodes.borrow();
@@ -542,7 +571,7 @@
     #[tokio::test(flavor = "current_thread")]
     async fn a_lack_of_descriptors_is_not_the_nodes_fault() {
         let node = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let upstreams = Upstreams::new(Descriptors::new(0), Budget::new(0), Duration::from_secs(30), 0);
+        let upstreams = Upstreams::new(Descriptors::new(0), Budget::new(0), Duration::from_secs(30), 0, None);
         let entry = Entry { server: 1, ..Entry::default() };
         upstreams.update(true, &[(entry, node.local_addr().ok())]);
         let job = Job {
--- a/crates/proxy/src/versions/below.rs
+++ b/crates/proxy/src/versions/below.rs
@@ -4,6 +4,7 @@
 use crate::config::Config;
 use crate::operator;
 use crate::plan::plan;
+use crate::wall::unix_ms;
 use aniseyoke_config::layers::{environment, resolve, Resolved, Source};
 use aniseyoke_config::model::{Control, Operator};
 use aniseyoke_config::Fault;
@@ -11,7 +12,6 @@
 use aniseyoke_control::Version;
 use aniseyoke_core::Plan;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 /// The layers below a control service's: the file, the environment, and the platform's settings under them.
 pub struct Below {
@@ -50,8 +50,7 @@
         }
         Ok(Found::Good(Kept { version, at_ms })) => match below.with(Some(&version)) {
             Ok(_) => {
-                let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
-                let age = std::time::Duration::from_secs(now.saturating_sub(at_ms) / 1000);
+                let age = std::time::Duration::from_secs(unix_ms().saturating_sub(at_ms) / 1000);
                 let age = humantime::format_duration(age);
                 tracing::info!(
                     "version {} from disk is in force, {age} old and stale until a service says so",
--- a/crates/proxy/src/versions/follow.rs
+++ b/crates/proxy/src/versions/follow.rs
@@ -1,11 +1,12 @@
 //! The thread that follows control services: it reads each version, checks it against what runs, has it put in force and
 //! keeps it on disk.
 
-use super::keeping::Keeping;
 use super::serving::{Order, Ready};
 use super::{frame_most, Below, InForce, KEPT};
 use crate::config::Names;
+use crate::keeping::Keeping;
 use crate::operator::log_levels;
+use crate::wall::{unix, unix_ms};
 use aniseyoke_config::model::Control;
 use aniseyoke_config::Fault;
 use aniseyoke_control::client::{follow, Host};
@@ -17,7 +18,6 @@
 use aniseyoke_routes::review::{review, Harm, Side};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot};
 
 /// What versions are checked against and kept by.
@@ -26,7 +26,7 @@
     orders: mpsc::Sender<Order>,
     tally: Arc<Tally>,
     /// The one writer of the last good version, where there is a folder for it.
-    keeping: Option<Keeping>,
+    keeping: Option<Keeping<Kept>>,
 }
 
 impl Subscription {
@@ -42,7 +42,7 @@
     ) -> std::io::Result<Self> {
         let keeping = control.dir.as_ref().map(|dir| {
             let mut store = Store::new(Disk, dir.join(KEPT));
-            Keeping::start(move |kept| {
+            Keeping::start(move |kept: Kept| {
                 let stamp = kept.version.stamp;
                 // Another process of this proxy may have kept a later one.
                 if matches!(store.find(), Ok(Found::Good(before)) if before.version.stamp > stamp) {
@@ -67,7 +67,7 @@
         running: Option<Arc<Version>>,
     ) -> std::io::Result<()> {
         let frame_most = frame_most(self.below.platform.memory);
-        let boot = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64);
+        let boot = u64::try_from(unix().as_nanos()).unwrap_or(u64::MAX);
         let instance = control.instance.unwrap_or_else(|| at.to_string());
         let identity = Identity { instance, boot, labels: control.labels, frame_most };
         let runtime =
@@ -136,7 +136,7 @@
     }
 
     fn keep(&self, version: Version) {
-        let at_ms = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+        let at_ms = unix_ms();
         self.keeping.iter().for_each(|k| k.keep(Kept { version: version.clone(), at_ms }));
     }
 
--- a/crates/proxy/src/versions/mod.rs
+++ b/crates/proxy/src/versions/mod.rs
@@ -4,7 +4,6 @@
 
 mod below;
 mod follow;
-mod keeping;
 mod serving;
 
 pub use below::{last_good, Below, InForce};
--- a/crates/proxy/tests/rig/mod.rs
+++ b/crates/proxy/tests/rig/mod.rs
@@ -199,6 +199,8 @@
     pub child: Child,
     pub addr: SocketAddr,
     pub log: BufReader<ChildStderr>,
+    /// The lines of its log until it listened.
+    pub early: Vec<String>,
     pub file: PathBuf,
 }
 
@@ -225,13 +227,13 @@
     pub fn with(config: &Value, more: impl FnOnce(&mut Command)) -> Self {
         let (mut child, file) = start_with(&config.to_string(), more);
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
-        let mut line = String::new();
+        let (mut line, mut early) = (String::new(), Vec::new());
         while !line.contains("listening on") {
-            line.clear();
+            early.extend((!line.is_empty()).then(|| std::mem::take(&mut line)));
             assert!(log.read_line(&mut line).expect("a line") > 0, "the log ended before the start");
         }
         let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        Proxy { child, addr: addr.unwrap_or_else(|| panic!("no address in {line:?}")), log, file }
+        Proxy { child, addr: addr.unwrap_or_else(|| panic!("no address in {line:?}")), log, early, file }
     }
 
     pub fn client(&self) -> Peer {
@@ -260,6 +262,11 @@
         line.trim().rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address")
     }
 
+    /// Whether its log said this before it listened.
+    pub fn began_with(&self, part: &str) -> bool {
+        self.early.iter().any(|line| line.contains(part))
+    }
+
     /// Waits for a line of the log; returns how many came before it.
     pub fn logged(&mut self, part: &str) -> usize {
         for before in 0.. {
