Count connections and attempts at each member in the rig, and write a page with plots

Change: site/toll.rs counts connections opened, held and attempts out at each member, and turns away what is past [bears]; link faults may strike before the proxies start (early); [[clock]] makes a proxy's wall clock wrong by the variable that wall.rs reads; restarts with state = spoilt; chaos writes report.html.

--- a/crates/lab/src/cli/chaos.rs
+++ b/crates/lab/src/cli/chaos.rs
@@ -2,6 +2,7 @@
 
 use aniseyoke_lab::rig::plan::Plan;
 use aniseyoke_lab::rig::play::{self, day_of};
+use aniseyoke_lab::rig::report;
 use aniseyoke_lab::trial::{find_file, find_proxy, Program};
 use clap::Args;
 use std::io::Write;
@@ -61,6 +62,7 @@
         .collect();
     write("seconds.jsonl", lines.join("\n") + "\n")?;
     write("outcome.json", serde_json::to_string_pretty(&outcome).map_err(|e| e.to_string())?)?;
+    write("report.html", report::page(&args.plan.display().to_string(), &outcome)?)?;
     print!("{}", play::table(&outcome));
     println!("written to {}", out.display());
     Ok(outcome.clean())
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -7,6 +7,7 @@
 //! - [`play`]: one experiment from start to end.
 //! - [`procs`]: the real proxies, signalled and started again.
 //! - [`relay`]: a relay on one link.
+//! - [`report`]: what came of an experiment, as a page with plots.
 
 pub mod board;
 pub mod mesh;
@@ -14,6 +15,7 @@
 pub mod play;
 pub mod procs;
 pub mod relay;
+pub mod report;
 
 #[cfg(test)]
 mod tests;
--- a/crates/lab/src/rig/plan.rs
+++ b/crates/lab/src/rig/plan.rs
@@ -3,6 +3,7 @@
 
 use super::board::{Active, Fault, Group};
 use crate::clock::mix;
+use crate::site::toll::Bears;
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::seq::SliceRandom;
 use rand::{RngExt, SeedableRng};
@@ -34,6 +35,12 @@
     /// What the list service takes.
     #[serde(default)]
     pub list: ListService,
+    /// What cache nodes take of connections.
+    #[serde(default)]
+    pub bears: Bears,
+    /// Processes whose wall clock is wrong, from their first start on.
+    #[serde(default, rename = "clock")]
+    pub clocks: Vec<Spanned<ClockStep>>,
     /// Faults on links.
     #[serde(default, rename = "link")]
     pub links: Vec<Spanned<LinkStep>>,
@@ -59,6 +66,20 @@
     }
 }
 
+/// Proxies whose wall clock is wrong.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClockStep {
+    /// Which.
+    pub proxies: Vec<String>,
+    /// By how much it is ahead...
+    #[serde(default, with = "humantime_serde")]
+    pub ahead: Duration,
+    /// ...or behind.
+    #[serde(default, with = "humantime_serde")]
+    pub behind: Duration,
+}
+
 /// A fault on the links between two sets, for a while.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -90,6 +111,9 @@
     /// What `bandwidth` lets through, in bytes a second.
     #[serde(default)]
     pub bytes_per_second: u64,
+    /// It strikes before the proxies start, and `at` is not waited for; `for` still counts from the start of the load.
+    #[serde(default)]
+    pub early: bool,
 }
 
 fn whole() -> f64 {
@@ -117,6 +141,8 @@
     Kept,
     /// Nothing.
     Cleared,
+    /// What its predecessor left, with a byte changed in the middle of each file.
+    Spoilt,
 }
 
 /// A fault on proxies.
@@ -158,6 +184,8 @@
 /// One thing to be done at its time.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Do {
+    /// A fault is on a link before the proxies start.
+    Begin(Active),
     /// A fault goes on a link.
     Strike(Active),
     /// Fault `.0` is lifted.
@@ -260,6 +288,14 @@
                 here("it would outlast the experiment's length".into());
             }
         }
+        for step in &plan.clocks {
+            let (span, clock) = (step.span(), step.get_ref());
+            let mut here = |why: String| fault(span.clone(), why);
+            named(&clock.proxies, &mut here);
+            if clock.ahead.is_zero() == clock.behind.is_zero() {
+                here("a clock is wrong by `ahead` or by `behind`, one of the two".into());
+            }
+        }
         for step in &plan.processes {
             let (span, process) = (step.span(), step.get_ref());
             let mut here = |why: String| fault(span.clone(), why);
@@ -284,6 +320,17 @@
         *self.proxies.get_ref()
     }
 
+    /// How wrong a proxy's clock is, as the proxy reads it; none: it is right.
+    pub fn clock(&self, proxy: usize) -> Option<String> {
+        let wrong = self.clocks.iter().map(Spanned::get_ref).find(|clock| {
+            let sets = clock.proxies.iter().filter_map(|w| Group::parse(w).ok());
+            sets.into_iter().any(|g| g.holds(super::board::Party::Proxy(proxy)))
+        })?;
+        let ahead = wrong.behind.is_zero();
+        let by = if ahead { wrong.ahead } else { wrong.behind };
+        Some(format!("{}{}", if ahead { '+' } else { '-' }, humantime::format_duration(by)))
+    }
+
     /// The schedule that the seed makes of it.
     pub fn schedule(&self, seed: u64) -> Schedule {
         let mut steps = Vec::new();
@@ -293,6 +340,7 @@
             let link = step.get_ref();
             let mut rng = Xoshiro256PlusPlus::seed_from_u64(mix(seed, 0x11c, id as u64));
             let at = link.at + link.spread.mul_f64(rng.random::<f64>());
+            let at = if link.early { Duration::ZERO } else { at };
             let active = Active {
                 id,
                 fault: link.fault,
@@ -304,7 +352,7 @@
                 rate: link.bytes_per_second,
                 struck: 0,
             };
-            steps.push((at, Do::Strike(active)));
+            steps.push((at, if link.early { Do::Begin(active) } else { Do::Strike(active) }));
             steps.push((at + link.span, Do::Lift(id)));
         }
         for (n, step) in self.processes.iter().enumerate() {
--- a/crates/lab/src/rig/play.rs
+++ b/crates/lab/src/rig/play.rs
@@ -8,6 +8,7 @@
 use crate::clock::{Clock, MS};
 use crate::day::{proxy_config, Day};
 use crate::load::{Load, OUTCOMES};
+use crate::site::toll::Met;
 use crate::site::{self, Front, Health, Site};
 use crate::trial::{health, raise_descriptors, Line, Log, Program, Report};
 use serde::Serialize;
@@ -39,6 +40,12 @@
     pub list_asks: Vec<u64>,
     /// Of those, refused as past what it takes.
     pub list_refused: Vec<u64>,
+    /// When the load began, in seconds from the site's opening.
+    pub began_s: f64,
+    /// What cache nodes were met with.
+    pub nodes: Met,
+    /// What the ledger was met with.
+    pub ledger: Met,
     /// What the relays did.
     pub links: Totals,
     /// What was done when, in seconds on the clock of the audit (from the rig's start, the load beginning a little later).
@@ -99,6 +106,7 @@
         mesh: Some(route),
         asks_most: plan.list.asks_per_second,
         retry_after_s: plan.list.retry_after.as_secs_f64(),
+        bears: plan.bears,
     };
     let mut site = Site::open_rigged(day, clock, recorder, rigging).map_err(|e| format!("site: {e}"))?;
     let configs = (site.discovery.iter().enumerate())
@@ -107,6 +115,13 @@
     program.tied = true;
     let log = Log::create(&folder.join("processes.log")).map_err(|e| format!("processes.log: {e}"))?;
     program.log = Some(log.clone());
+    let Schedule { steps } = plan.schedule(seed);
+    for (_, step) in &steps {
+        if let Do::Begin(active) = step {
+            board.strike(active.clone());
+        }
+    }
+    program.clocks = (0..plan.proxies()).map(|me| plan.clock(me)).collect();
     let mut procs = Procs::start(program, configs, &folder.join("proxies"))?;
     let addrs: Vec<_> = (0..procs.len()).filter_map(|me| procs.addr(me)).collect();
     let front = Arc::new(Front::new(&addrs, day.site.proxy.notice));
@@ -122,7 +137,6 @@
             .map_err(|e| format!("load: {e}"))?;
     site.begin();
     let began = Instant::now();
-    let Schedule { steps } = plan.schedule(seed);
     let (mut next, mut done, mut crashes) = (0, Vec::new(), Vec::new());
     while !load.over() {
         tokio::time::sleep(LOOK_EVERY).await;
@@ -133,6 +147,10 @@
                 _ => None,
             });
             let what = match step {
+                Do::Begin(active) => format!(
+                    "{:?} between {:?} and {:?} since before the start",
+                    active.fault, active.a, active.b
+                ),
                 Do::Strike(active) => {
                     board.strike(active.clone());
                     format!("{:?} between {:?} and {:?}", active.fault, active.a, active.b)
@@ -211,7 +229,12 @@
         })
         .collect();
     let (list_asks, list_refused) = (counts.list_asks, counts.list_refused);
+    let [nodes, ledger] = counts.met;
+    let began_s = from as f64 / 1e9;
     Ok(Outcome {
+        began_s,
+        nodes,
+        ledger,
         seed,
         proxies: plan.proxies(),
         all,
@@ -273,6 +296,21 @@
     Ok(day)
 }
 
+/// The part of what is served in time that counts as steady service.
+const STEADY: f64 = 0.95;
+
+/// The second of the load from which on every second serves that part in time; none if its last does not.
+pub fn steady_after(outcome: &Outcome) -> Option<usize> {
+    let served = |counts: &BTreeMap<String, u64>| {
+        let all: u64 = counts.values().sum();
+        all == 0 || counts.get("served").copied().unwrap_or(0) as f64 >= STEADY * all as f64
+    };
+    // What comes in the last second has been cut short by the end.
+    let seconds = outcome.seconds.split_last().map_or(&[][..], |(_, rest)| rest);
+    let after = seconds.iter().rposition(|counts| !served(counts)).map_or(0, |last| last + 1);
+    (after < seconds.len()).then_some(after)
+}
+
 /// The outcome as a table for a reader.
 pub fn table(outcome: &Outcome) -> String {
     let mut text = format!("{} proxies, seed {}\n", outcome.proxies, outcome.seed);
@@ -295,6 +333,19 @@
         median,
         refused.iter().sum::<u64>()
     );
+    for (who, met) in [("a node", &outcome.nodes), ("the ledger", &outcome.ledger)] {
+        let (all, most) = (met.opened.iter().sum::<u64>(), met.opened_most.iter().max().unwrap_or(&0));
+        text += &format!(
+            "{who}: {most} connections a second at most ({all} in all), {} held at once, {} attempts out, {} turned away\n",
+            met.held_most,
+            met.out_most,
+            met.turned.iter().sum::<u64>()
+        );
+    }
+    match steady_after(outcome) {
+        Some(s) => text += &format!("steady service (95% served in time) from second {s} of the load on\n"),
+        None => text += "no steady service (95% served in time) by the end\n",
+    }
     let l = &outcome.links;
     text += &format!(
         "links: {} relays, {} connections; dropped {}, cut {}, reset {}, held silent {}, target gone {}\n",
--- a/crates/lab/src/rig/procs.rs
+++ b/crates/lab/src/rig/procs.rs
@@ -37,6 +37,24 @@
     places: Vec<Place>,
 }
 
+/// Changes a byte in the middle of each file in a folder.
+fn spoil(folder: &Path) -> std::io::Result<()> {
+    for entry in std::fs::read_dir(folder)? {
+        let path = entry?.path();
+        if path.is_dir() {
+            spoil(&path)?;
+        } else if path.is_file() {
+            let mut bytes = std::fs::read(&path)?;
+            let middle = bytes.len() / 2;
+            if let Some(byte) = bytes.get_mut(middle) {
+                *byte ^= 1;
+                std::fs::write(&path, bytes)?;
+            }
+        }
+    }
+    Ok(())
+}
+
 fn signal(running: &dyn Running, signal: Signal) {
     if let Some(pid) = running.pid() {
         // One that has just ended is seen by the next look.
@@ -68,6 +86,9 @@
         if state == State::Cleared && dir.exists() {
             std::fs::remove_dir_all(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
         }
+        if state == State::Spoilt {
+            spoil(&dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        }
         let place = &mut self.places[me];
         let running = self.program.start(me, &place.config, &dir)?;
         let addr = running.addr();
--- /dev/null
+++ b/crates/lab/src/rig/report.rs
@@ -0,0 +1,107 @@
+//! What came of an experiment, as one page for a browser: outcomes, calls at the list service and connections by second,
+//! with the faults' times on each plot.
+
+use super::play::{table, Outcome};
+use plotters::coord::Shift;
+use plotters::prelude::*;
+use std::fmt::Write as _;
+
+/// A plot's size, in pixels.
+const SIZE: (u32, u32) = (960, 300);
+/// Faults that are drawn; with more the plots would be all lines.
+const MARKS_MOST: usize = 60;
+
+/// One line of a plot: its name, and its value at each second.
+struct Row<'a> {
+    name: &'a str,
+    seconds: Vec<f64>,
+}
+
+fn row<'a>(name: &'a str, counts: &[u64]) -> Row<'a> {
+    Row { name, seconds: counts.iter().map(|c| *c as f64).collect() }
+}
+
+fn draw(
+    root: &DrawingArea<SVGBackend<'_>, Shift>,
+    title: &str,
+    from: f64,
+    rows: &[Row<'_>],
+    marks: &[f64],
+) -> Result<(), Box<dyn std::error::Error>> {
+    root.fill(&WHITE)?;
+    let values = || rows.iter().flat_map(|r| r.seconds.iter().copied());
+    let (most, length) =
+        (values().fold(1.0, f64::max), rows.iter().map(|r| r.seconds.len()).max().unwrap_or(1));
+    let mut chart = ChartBuilder::on(root)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(30)
+        .y_label_area_size(60)
+        .build_cartesian_2d(from..from + length as f64, 0.0..most * 1.05)?;
+    chart.configure_mesh().x_desc("seconds").light_line_style(WHITE).draw()?;
+    for at in marks {
+        chart.draw_series(LineSeries::new([(*at, 0.0), (*at, most * 1.05)], RED.mix(0.25)))?;
+    }
+    for (n, row) in rows.iter().enumerate() {
+        let color = Palette99::pick(n).to_rgba();
+        let points = row.seconds.iter().enumerate().map(|(s, v)| (from + s as f64 + 0.5, *v));
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
+            .label(row.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+    }
+    chart.configure_series_labels().background_style(WHITE.mix(0.8)).border_style(BLACK.mix(0.3)).draw()?;
+    root.present()?;
+    Ok(())
+}
+
+fn plot(title: &str, from: f64, rows: &[Row<'_>], marks: &[f64]) -> Result<String, String> {
+    let mut svg = String::new();
+    {
+        let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        draw(&root, title, from, rows, marks).map_err(|e| format!("{title}: {e}"))?;
+    }
+    Ok(svg)
+}
+
+/// Text as it may stand in a page.
+fn plain(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
+
+/// The page.
+///
+/// # Errors
+/// If a plot can't be drawn.
+pub fn page(name: &str, outcome: &Outcome) -> Result<String, String> {
+    let mut kinds: Vec<&String> = outcome.seconds.iter().flat_map(|s| s.keys()).collect();
+    kinds.sort_unstable();
+    kinds.dedup();
+    let of = |kind: &String| -> Vec<u64> {
+        outcome.seconds.iter().map(|s| s.get(kind).copied().unwrap_or(0)).collect()
+    };
+    let outcomes: Vec<Row<'_>> = kinds.iter().map(|kind| row(kind, &of(kind))).collect();
+    let marks: Vec<f64> = outcome.done.iter().map(|(at, _)| *at).take(MARKS_MOST).collect();
+    let list = [row("calls", &outcome.list_asks), row("refused", &outcome.list_refused)];
+    let opened = [row("all nodes", &outcome.nodes.opened), row("the ledger", &outcome.ledger.opened)];
+    let most =
+        [row("busiest node", &outcome.nodes.opened_most), row("turned away, all", &outcome.nodes.turned)];
+    let plots = [
+        plot("requests by how they ended", outcome.began_s, &outcomes, &marks)?,
+        plot("calls at the list service", 0.0, &list, &marks)?,
+        plot("connections opened", 0.0, &opened, &marks)?,
+        plot("connections opened at one node", 0.0, &most, &marks)?,
+    ];
+    let mut page = String::new();
+    let name = plain(name);
+    let head = "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\">";
+    let style =
+        "<style>body{font:14px sans-serif;max-width:980px;margin:2em auto}pre{overflow-x:auto}</style>";
+    let title = format!("{name}, seed {}", outcome.seed);
+    let verdict = if outcome.clean() { "no rule broken" } else { "rules broken or a proxy crashed" };
+    // Writing to a String does not fail.
+    let _ = write!(page, "{head}<title>{title}</title>{style}</head><body><h1>{title}</h1>");
+    let _ = write!(page, "<p>{verdict}. Red lines: faults struck or lifted.</p>{}", plots.concat());
+    let _ = write!(page, "<pre>{}</pre></body></html>", plain(&table(outcome)));
+    Ok(page)
+}
--- a/crates/lab/src/site/hall.rs
+++ b/crates/lab/src/site/hall.rs
@@ -53,6 +53,8 @@
     /// Calls at the list service for each second from the opening, and those refused.
     pub list_asks: RefCell<Vec<u64>>,
     pub list_refused: RefCell<Vec<u64>>,
+    /// What members were met with.
+    pub toll: RefCell<super::toll::Toll>,
     /// How late the model's events were played, in microseconds.
     pub lateness: RefCell<Histogram<u64>>,
     /// Fetches and writes that reached the ledger.
@@ -98,6 +100,7 @@
             listed,
             discovery: watch::Sender::new(true),
             orders,
+            toll: RefCell::new(super::toll::Toll::new(rigging.bears)),
             rigging,
             list_asks: RefCell::default(),
             list_refused: RefCell::default(),
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -5,6 +5,7 @@
 mod front;
 mod hall;
 mod node;
+pub mod toll;
 pub mod wire;
 
 pub use front::{Front, Health};
@@ -34,6 +35,8 @@
     pub asks_most: Option<u64>,
     /// What that `Retry-After` says, in seconds.
     pub retry_after_s: f64,
+    /// What cache nodes take of connections.
+    pub bears: toll::Bears,
 }
 
 /// Restarts that may wait to be carried out.
@@ -53,6 +56,8 @@
     pub list_asks: Vec<u64>,
     /// Of those, refused for being past what it takes a second.
     pub list_refused: Vec<u64>,
+    /// What cache nodes and the ledger were met with.
+    pub met: [toll::Met; 2],
 }
 
 /// A site that stands, on a thread of its own.
@@ -133,6 +138,7 @@
                 misses: hall.misses.get(),
                 list_asks: hall.list_asks.borrow().clone(),
                 list_refused: hall.list_refused.borrow().clone(),
+                met: hall.toll.borrow().met(),
             };
             counts
         };
--- a/crates/lab/src/site/node.rs
+++ b/crates/lab/src/site/node.rs
@@ -50,14 +50,23 @@
     let born = *pulse.borrow_and_update();
     let mut wire = Wire::new(stream);
     let ticket = Cell::new(None);
+    let ledger = hall.world.borrow().is_ledger(member);
+    let taken = hall.toll.borrow_mut().opened(hall.clock.now(), member, ledger);
     let reset = tokio::select! {
         biased;
         () = until_reset(&mut pulse, born) => true,
-        ended = serve(&hall, member, &mut wire, &post, born, &ticket) => ended.is_err(),
+        ended = async {
+            match taken {
+                true => serve(&hall, member, &mut wire, &post, born, &ticket).await,
+                false => turn_away(&hall, member, &mut wire).await,
+            }
+        } => ended.is_err(),
     };
     if let Some(ticket) = ticket.take() {
+        hall.toll.borrow_mut().out(member, ledger, false);
         hall.quit(ticket);
     }
+    hall.toll.borrow_mut().closed(member);
     if reset {
         wire.reset();
     }
@@ -71,6 +80,20 @@
     }
 }
 
+/// A connection past what the machine takes: its first request is turned away, and it is closed.
+async fn turn_away(hall: &Rc<Hall>, member: usize, wire: &mut Wire) -> io::Result<()> {
+    let Some(asked) = wire.request().await? else { return Ok(()) };
+    let Some(request) = asked.id.as_deref().and_then(request_id) else { return Ok(()) };
+    let attempt = hall.ticket();
+    hall.recorder.note(Seen::Reached { request, member, attempt });
+    wire.body(asked.framing, |_| {}).await?;
+    hall.recorder.note(Seen::Arrived { request, attempt });
+    let (status, digest, never_ran, sound) = (503, xxh3_64(&[]), true, true);
+    hall.recorder.note(Seen::Made { request, attempt, status, digest, never_ran, sound });
+    let head = "HTTP/1.1 503 Service Unavailable\r\nX-Unprocessed: 1\r\nConnection: close\r\n";
+    wire.write(format!("{head}Content-Length: 0\r\n\r\n").as_bytes()).await
+}
+
 /// A read at a member, in the model's terms: class and key stand in the path.
 fn ask(hall: &Hall, member: usize, ticket: Ticket, request: u64, asked: &Asked) -> Ask {
     let path = asked.path.split('?').next().unwrap_or("");
@@ -119,9 +142,11 @@
             return Ok(());
         }
         let ask = ask(hall, member, attempt, request, &asked);
-        if hall.world.borrow().is_ledger(member) {
+        let ledger = hall.world.borrow().is_ledger(member);
+        if ledger {
             hall.ledger_asks.set(hall.ledger_asks.get() + 1);
         }
+        hall.toll.borrow_mut().out(member, ledger, true);
         open.set(Some(attempt));
         let answered = hall.arrive(ask);
         let answered = tokio::select! {
@@ -129,7 +154,9 @@
             answered = answered => answered.ok(),
             () = wire.ended() => return Ok(()),
         };
-        open.set(None);
+        if open.take().is_some() {
+            hall.toll.borrow_mut().out(member, ledger, false);
+        }
         let Some((reply, manner)) = answered.filter(|_| !dead()) else {
             wire.ended().await;
             return Ok(());
--- a/crates/lab/src/trial/subject.rs
+++ b/crates/lab/src/trial/subject.rs
@@ -22,6 +22,9 @@
 /// The variable that names a proxy's operator's file.
 const OPERATOR: &str = "ANISEYOKE_FILE";
 
+/// The variable that makes a proxy's wall clock wrong.
+const CLOCK: &str = "ANISEYOKE_CLOCK";
+
 /// Something that serves as a proxy.
 pub trait Subject {
     /// Starts proxy `me` by a configuration in the platform's form; `dir` is its own.
@@ -60,6 +63,8 @@
     pub args: Vec<String>,
     /// The operator's file that it is to read, if any.
     pub operator: Option<PathBuf>,
+    /// How wrong each one's wall clock is, by number; right where there is none.
+    pub clocks: Vec<Option<String>>,
     /// Whether a child is killed when the thread that started it ends, also when this process is killed outright.
     pub tied: bool,
     /// Where every line of every child goes as well, in the order they come.
@@ -69,7 +74,7 @@
 impl Program {
     /// A program without arguments or operator's file.
     pub fn new(path: PathBuf) -> Self {
-        Program { path, args: Vec::new(), operator: None, tied: false, log: None }
+        Program { path, args: Vec::new(), operator: None, clocks: Vec::new(), tied: false, log: None }
     }
 }
 
@@ -133,11 +138,15 @@
     fn start(&self, me: usize, config: &Value, dir: &Path) -> Result<Box<dyn Running>, String> {
         let name = self.path.display();
         std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
+        // Named whole: the child starts there, so that what its operator's file names from there is its own.
+        let dir = dir.canonicalize().map_err(|e| format!("{}: {e}", dir.display()))?;
+        let program = self.path.canonicalize().map_err(|e| format!("{name}: {e}"))?;
         let file = dir.join("config.json");
         std::fs::write(&file, config.to_string()).map_err(|e| format!("{}: {e}", file.display()))?;
-        let mut command = Command::new(&self.path);
-        command.args(&self.args).env_clear().env("PROXY_CONFIG", &file).env("TMPDIR", dir);
+        let mut command = Command::new(&program);
+        command.args(&self.args).env_clear().env("PROXY_CONFIG", &file).env("TMPDIR", &dir).current_dir(&dir);
         command.envs(self.operator.iter().map(|file| (OPERATOR, file)));
+        command.envs(self.clocks.get(me).and_then(Option::as_ref).map(|clock| (CLOCK, clock)));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
         if self.tied {
             tie(&mut command);
