Play cold starts in simulated time and under faults, with 300 and 1,000 proxies

Change: sim plays the list service (calls, watches, refusals, an outage) and leave to open connections with the same crates/pace as the proxy; experiments for each hard case; tests/cold.rs starts eight real processes with the list service reset before the start, a third parted, four killed (kept and spoilt lists), one paused, one with a wrong clock; a list that the platform told is now kept too, with the changes on top (the test found that it was not).

--- a/crates/lab/src/cli/sim.rs
+++ b/crates/lab/src/cli/sim.rs
@@ -1,7 +1,7 @@
 //! `sim`: a day in simulated time.
 
 use super::Which;
-use aniseyoke_lab::sim::{Counts, Options, Sim};
+use aniseyoke_lab::sim::{Counts, Options, Service, Sim};
 use clap::Args;
 use rayon::prelude::*;
 use std::time::{Duration, Instant};
@@ -29,6 +29,24 @@
     /// The part of all tries that comes to the first proxy beside its share of the rest.
     #[arg(long, default_value_t = 0.0)]
     heavy: f64,
+    /// Play the list service as well and count calls there.
+    #[arg(long)]
+    list: bool,
+    /// Proxies ask it at their own moments, as `[list]` in the operator's file has them do.
+    #[arg(long, requires = "list")]
+    paced: bool,
+    /// Calls a second that it answers; past that it refuses.
+    #[arg(long, requires = "list")]
+    list_takes: Option<u64>,
+    /// It is down for so long from the start.
+    #[arg(long, requires = "list", default_value = "0s", value_parser = humantime::parse_duration)]
+    list_down: Duration,
+    /// Connections a second that all proxies together open to a node, as `[opening]` has it; not limited otherwise.
+    #[arg(long)]
+    opens: Option<f64>,
+    /// The same to the ledger.
+    #[arg(long, requires = "opens", default_value_t = 400.0)]
+    opens_ledger: f64,
     /// Seconds in a line of the table.
     #[arg(long, default_value_t = 1)]
     step: usize,
@@ -59,7 +77,21 @@
     if !left_out.is_empty() {
         println!("not played in simulated time: {}", left_out.join(", "));
     }
-    let options = Options { warm: args.warm, uneven: args.uneven, heavy: args.heavy, crowd: None };
+    if args.opens.is_some_and(|o| o.is_nan() || o <= 0.0)
+        || args.opens_ledger.is_nan()
+        || args.opens_ledger <= 0.0
+    {
+        return Err("--opens and --opens-ledger are above 0".into());
+    }
+    let list = args.list.then(|| Service {
+        paced: args.paced,
+        takes: args.list_takes,
+        retry_after: Duration::from_secs(1),
+        down: args.list_down,
+    });
+    let opening = args.opens.map(|node| (node, args.opens_ledger));
+    let options =
+        Options { warm: args.warm, uneven: args.uneven, heavy: args.heavy, crowd: None, list, opening };
     let started = Instant::now();
     let play = |n: u64| {
         let mut day = day.clone();
@@ -100,4 +132,24 @@
         c.fell, c.stopped, c.ran_twice, c.drains_broken, c.answered_twice
     );
     println!("{} attempts over connections that had carried one", c.reused);
+    match c.steady_after(0.95) {
+        Some(s) => println!("steady service (goodput 0.95 and up) from second {s} on"),
+        None => println!("no steady service (goodput 0.95 and up) by the end"),
+    }
+    for (who, met) in ["a node", "the ledger"].iter().zip(&c.met) {
+        let (most, all) = (met.opened_most.iter().max().unwrap_or(&0), met.opened.iter().sum::<u64>());
+        println!(
+            "{who}: {most} connections a second at most ({all} in all), {} attempts out at most",
+            met.out_most
+        );
+    }
+    if !c.list_asks.is_empty() {
+        let (all, most) = (c.list_asks.iter().sum::<u64>(), c.list_asks.iter().max().unwrap_or(&0));
+        let mut sorted = c.list_asks.clone();
+        sorted.sort_unstable();
+        println!(
+            "list service: {all} calls, {most} in the busiest second, {} in the median one, {} refused; by second {:?}",
+            sorted[sorted.len() / 2], c.list_refused, c.list_asks
+        );
+    }
 }
--- a/crates/lab/src/rig/tests.rs
+++ b/crates/lab/src/rig/tests.rs
@@ -160,3 +160,26 @@
     assert!(read.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset));
     assert_eq!(Counts::get(&relay.counts.unreached), 1);
 }
+
+/// The median time of a small round trip, of so many.
+async fn median(stream: &mut TcpStream, rounds: usize) -> Duration {
+    let mut times = Vec::with_capacity(rounds);
+    for _ in 0..rounds {
+        let start = Instant::now();
+        round(stream, 64, Duration::from_secs(5)).await.unwrap();
+        times.push(start.elapsed());
+    }
+    times.sort_unstable();
+    times[rounds / 2]
+}
+
+/// Danger: a relay that adds much would make the figures of proxies its own.
+#[tokio::test]
+async fn a_relay_adds_less_than_a_millisecond_at_the_median() {
+    let board = Board::default();
+    let mut straight = TcpStream::connect(echo().await).await.unwrap();
+    let mut through = TcpStream::connect(relayed(&board).await.addr).await.unwrap();
+    let (straight, through) = (median(&mut straight, 400).await, median(&mut through, 400).await);
+    println!("median round trip: {straight:?} straight, {through:?} through a relay");
+    assert!(through < straight + Duration::from_millis(1), "{straight:?} and {through:?}");
+}
--- a/crates/lab/src/sim/count.rs
+++ b/crates/lab/src/sim/count.rs
@@ -3,6 +3,7 @@
 use super::Happening;
 use crate::day::Day;
 use crate::load::{Outcome, Tally};
+use crate::site::toll::Met;
 use serde::Serialize;
 
 /// How a try ended, as its proxy saw it.
@@ -105,6 +106,12 @@
     pub drains_broken: u64,
     /// Final answers beyond one for a request, which a proxy must never give.
     pub answered_twice: u64,
+    /// Calls at the list service, for each second from the start, warming included; refused ones among them.
+    pub list_asks: Vec<u64>,
+    /// Of those, refused.
+    pub list_refused: u64,
+    /// What nodes and the ledger were met with, for each second from the start; connections held are not known here.
+    pub met: [Met; 2],
     /// What happened in all, warming included.
     pub events: u64,
 }
@@ -122,6 +129,9 @@
             ran_twice: 0,
             drains_broken: 0,
             answered_twice: 0,
+            list_asks: Vec::new(),
+            list_refused: 0,
+            met: [Met::default(), Met::default()],
             events: 0,
         }
     }
@@ -146,6 +156,13 @@
         }
     }
 
+    /// The second from which on every second's goodput is at least this; none if the last one's is not.
+    pub fn steady_after(&self, part: f64) -> Option<usize> {
+        let seconds = self.tally.seconds.len().saturating_sub(1);
+        let after = (0..seconds).rev().find(|s| self.goodput(*s..*s + 1) < part).map_or(0, |last| last + 1);
+        (after < seconds).then_some(after)
+    }
+
     /// What of the day's own requests ended well, and what not.
     pub fn served(&self) -> (u64, u64) {
         (self.tally.all.count(Outcome::Served), self.tally.all.requests())
--- a/crates/lab/src/sim/host.rs
+++ b/crates/lab/src/sim/host.rs
@@ -1,10 +1,14 @@
 //! One proxy: the decision module and what the core keeps beside it, for simulated time.
 
+use super::lists::Caller;
+use super::Options;
+use crate::clock::mix;
 use crate::clock::{Nanos, MS, SECOND};
 use crate::day::{module_settings, Day};
 use aniseyoke_core::margin;
-use aniseyoke_decision::api::{Action, Event, RequestId, ServerId, State, Status};
+use aniseyoke_decision::api::{Action, Entry, Event, ListKind, RequestId, ServerId, State, Status};
 use aniseyoke_decision::Balancer;
+use aniseyoke_pace::{Opens, Place};
 use rustc_hash::FxHashMap;
 
 /// An attempt as its proxy sees it.
@@ -42,14 +46,26 @@
     /// The version of the list that it has.
     pub version: u64,
     pub subscribed: bool,
+    /// Its side of the list service.
+    pub caller: Caller,
+    /// Leave to open connections, with what all proxies open a second to a node and to the ledger, where that is limited.
+    pub opens: Option<(Opens, (f64, f64))>,
+    started: FxHashMap<ServerId, Nanos>,
+    ledger_kind: u32,
     conn_idle: Nanos,
     pub actions: Vec<Action>,
 }
 
 impl Host {
-    pub fn new(day: &Day, me: usize, seed: u64) -> Self {
+    pub fn new(day: &Day, me: usize, options: &Options) -> Self {
         let settings = module_settings(day, me);
+        let place = Place::new(settings.me, settings.proxies);
+        let seed = mix(day.seed, 0x5eed, me as u64);
         Host {
+            caller: Caller::new(day, me, options.list.as_ref()),
+            opens: options.opening.map(|rates| (Opens::new(place, 0, 0), rates)),
+            started: FxHashMap::default(),
+            ledger_kind: day.site.cache.kinds.len() as u32,
             conn_idle: settings.conn_idle,
             balancer: Balancer::new(settings, seed),
             pending: FxHashMap::default(),
@@ -64,7 +80,8 @@
 
     /// Gives the module an event; what it says is left in `actions`.
     pub fn feed(&mut self, now: Nanos, event: Event) {
-        if let Event::List { entries, .. } = &event {
+        if let Event::List { kind, entries } = &event {
+            self.meet(now, *kind, entries);
             for entry in entries {
                 if entry.state == State::Ready {
                     self.told.remove(&entry.server);
@@ -76,6 +93,23 @@
         self.balancer.handle(now, event, &mut self.actions);
     }
 
+    /// Leave to open connections follows the list.
+    fn meet(&mut self, now: Nanos, kind: ListKind, entries: &[Entry]) {
+        let Some((opens, (node, ledger))) = &mut self.opens else { return };
+        if matches!(kind, ListKind::Full | ListKind::Cached) {
+            opens.retain(|server| entries.iter().any(|e| e.server == server));
+        }
+        for entry in entries {
+            let anew = self.started.insert(entry.server, entry.started).is_some_and(|s| s != entry.started);
+            if anew || entry.state == State::Gone {
+                opens.gone(entry.server);
+            }
+            if entry.state != State::Gone {
+                opens.listed(now, entry.server, if entry.kind == self.ledger_kind { *ledger } else { *node });
+            }
+        }
+    }
+
     /// Takes a request: its number, and the time left as the module is told.
     pub fn take(
         &mut self,
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -8,16 +8,19 @@
 mod client;
 mod count;
 mod host;
+mod lists;
 mod queue;
 mod run;
 #[cfg(test)]
 mod tests;
 
 pub use count::{Counts, Second, CAUSES};
+pub use lists::Service;
 
 use crate::clock::{mix, nanos, part, Nanos, MS, SECOND};
 use crate::day::Day;
 use crate::load::Plan;
+use crate::site::toll::{Bears, Toll};
 use crate::world::{Catalogue, Effect, Ticket, World};
 use client::Asking;
 use host::Host;
@@ -37,11 +40,22 @@
     pub heavy: f64,
     /// Clients beside the day's own.
     pub crowd: Option<Crowd>,
+    /// The list service; none: proxies hear of each change at once, and calls are not counted.
+    pub list: Option<Service>,
+    /// Connections a second that all proxies together open to a node and to the ledger; none: as many as they like.
+    pub opening: Option<(f64, f64)>,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Options { warm: Duration::from_secs(30), uneven: 0.6, heavy: 0.0, crowd: None }
+        Options {
+            warm: Duration::from_secs(30),
+            uneven: 0.6,
+            heavy: 0.0,
+            crowd: None,
+            list: None,
+            opening: None,
+        }
     }
 }
 
@@ -98,6 +112,14 @@
     Over(Ticket),
     /// A proxy hears of a change of the list: the version to which it is brought.
     Told(u32),
+    /// A proxy's call reaches the list service.
+    Ask(u32),
+    /// A proxy's watch has been held for its time; its number.
+    Held(u32, u32),
+    /// A proxy's call has failed, or was refused.
+    Unlisted(u32, bool),
+    /// A proxy asks for leave to open a connection for an attempt.
+    Open(Ticket),
 }
 
 /// What comes back of an attempt.
@@ -123,6 +145,8 @@
     /// Nothing comes back over its connection any more.
     dead: bool,
     ledger: bool,
+    /// It waits for leave to open its connection until then at most; none: it waits for none.
+    leave_by: Option<Nanos>,
 }
 
 /// A day in simulated time.
@@ -151,6 +175,7 @@
     /// For when the model was last put into the queue.
     world_due: Option<Nanos>,
     effects: Vec<Effect>,
+    toll: Toll,
     /// What was counted.
     pub counts: Counts,
 }
@@ -162,7 +187,7 @@
         let catalogue = Catalogue::new(day);
         let mut world = World::new(day, &catalogue);
         world.empty();
-        let hosts = (0..day.site.proxy.count).map(|me| Host::new(day, me, mix(day.seed, 0x5eed, me as u64)));
+        let hosts = (0..day.site.proxy.count).map(|me| Host::new(day, me, &options));
         let hosts: Vec<Host> = hosts.collect();
         let mut sum = 0.0;
         let weights = (0..hosts.len()).map(|p| {
@@ -194,6 +219,7 @@
             named: FxHashMap::default(),
             world_due: None,
             effects: Vec::new(),
+            toll: Toll::new(Bears::default()),
             options,
         };
         sim.open();
--- a/crates/lab/src/sim/run.rs
+++ b/crates/lab/src/sim/run.rs
@@ -43,6 +43,7 @@
             self.settle();
         }
         self.counts.events = self.queue.put();
+        self.counts.met = self.toll.met();
         self.counts
     }
 
@@ -74,7 +75,11 @@
             Happening::Reach(ticket) => self.reach(ticket),
             Happening::Back(ticket, back) => self.back(ticket, back),
             Happening::Over(ticket) => self.end_attempt(ticket, Status::Timeout),
-            Happening::Told(proxy) => self.list(proxy),
+            Happening::Told(proxy) => self.told_list(proxy),
+            Happening::Ask(proxy) => self.asked_list(proxy),
+            Happening::Held(proxy, number) => self.held(proxy, number),
+            Happening::Unlisted(proxy, refused) => self.unlisted(proxy, refused),
+            Happening::Open(ticket) => self.open_for(ticket),
         }
     }
 
@@ -118,14 +123,7 @@
             }
             Effect::Fell(_) => self.counts.fell += u64::from(self.now >= self.from),
             Effect::Stopped(_) => self.counts.stopped += u64::from(self.now >= self.from),
-            Effect::Listed(_) => {
-                for p in 0..self.hosts.len() as u32 {
-                    if self.hosts[p as usize].subscribed {
-                        let way = self.way();
-                        self.later(way, Happening::Told(p));
-                    }
-                }
-            }
+            Effect::Listed(_) => self.relisted(),
             Effect::Dropped(_)
             | Effect::Joined(_)
             | Effect::Process(..)
@@ -157,7 +155,7 @@
     }
 
     /// A proxy hears what has changed in the list since it last did.
-    fn list(&mut self, proxy: u32) {
+    pub(super) fn list(&mut self, proxy: u32) {
         let since = self.hosts[proxy as usize].version;
         let (kind, lines) =
             match self.world.roster().since(since).filter(|_| self.hosts[proxy as usize].subscribed) {
@@ -171,7 +169,7 @@
     }
 
     /// Gives a proxy's module an event, and does what it says.
-    fn feed(&mut self, proxy: u32, event: Event) {
+    pub(super) fn feed(&mut self, proxy: u32, event: Event) {
         self.hosts[proxy as usize].feed(EPOCH + self.now, event);
         let mut actions = std::mem::take(&mut self.hosts[proxy as usize].actions);
         for action in actions.drain(..) {
@@ -192,6 +190,7 @@
             Action::Fail { id } => self.answer(proxy, id, Fate::Failed, None),
             Action::Timer { token, delay } => self.later(delay, Happening::Timer(proxy, token)),
             Action::Close(server) => drop(self.hosts[proxy as usize].idle.remove(&server)),
+            Action::Subscribe if self.options.list.is_some() => self.ask_list(proxy, true),
             Action::Subscribe => self.later(LIST_TAKES, Happening::Told(proxy)),
         }
     }
@@ -244,6 +243,7 @@
                 reached: false,
                 dead: false,
                 ledger,
+                leave_by: None,
             },
         );
         if pending_answered(host, id) || left == 0 {
@@ -254,11 +254,36 @@
         }
         if let Some(s) = self.counts.at(second) {
             s.sent[place] += 1;
-            s.opened += u64::from(kept.is_none());
         }
         let wait = if timeout == 0 { left } else { timeout.min(left) };
         self.later(wait, Happening::Over(ticket));
-        let way = if kept.is_none() { 3 * self.way() } else { self.way() };
+        if kept.is_none() {
+            // As the proxy does: no longer than half of the attempt's time is spent on waiting for leave.
+            self.out.get_mut(&ticket).into_iter().for_each(|o| o.leave_by = Some(now + wait / 2));
+            return self.open_for(ticket);
+        }
+        let way = self.way();
+        self.later(way, Happening::Reach(ticket));
+    }
+
+    /// Opens the connection that an attempt needs, or has it wait for leave.
+    pub(super) fn open_for(&mut self, ticket: Ticket) {
+        let now = self.now;
+        let Some(out) = self.out.get(&ticket) else { return };
+        let (proxy, member, ledger, by) = (out.proxy, out.member, out.ledger, out.leave_by.unwrap_or(now));
+        let server = self.server(member);
+        if let Some((opens, _)) = &mut self.hosts[proxy as usize].opens {
+            if let Err(wait) = opens.take(EPOCH + now, server) {
+                if now + wait > by {
+                    return self.end_attempt(ticket, Status::Moot);
+                }
+                return self.later(wait, Happening::Open(ticket));
+            }
+        }
+        self.toll.opened(now, member, ledger);
+        let second = self.second(now);
+        self.counts.at(second).into_iter().for_each(|s| s.opened += 1);
+        let way = 3 * self.way();
         self.later(way, Happening::Reach(ticket));
     }
 
@@ -287,6 +312,8 @@
             Process::Silent => return,
         }
         out.reached = true;
+        let ledger = out.ledger;
+        self.toll.out(member, ledger, true);
         let Some(pending) = self.hosts[proxy as usize].pending.get(&request) else { return };
         let asking = &self.asking[pending.client as usize];
         let ask = Ask {
@@ -352,6 +379,9 @@
     /// Takes an attempt off the books and tells the module.
     fn end_as(&mut self, ticket: Ticket, status: Status, hit: Option<bool>) {
         let Some(out) = self.out.remove(&ticket) else { return };
+        if out.reached {
+            self.toll.out(out.member, out.ledger, false);
+        }
         let (proxy, id, number) = (out.proxy, out.request, out.number);
         let usable = matches!(status, Status::Ok | Status::Miss | Status::Error | Status::Full);
         if !usable {
--- a/crates/lab/src/sim/tests.rs
+++ b/crates/lab/src/sim/tests.rs
@@ -137,9 +137,51 @@
         let mut day = still(300, nodes, 10);
         day.load.rate = 300.0 / (1.0 - heavy);
         let warm = Duration::from_secs(20);
-        let counts = Sim::new(&day, Options { warm, uneven: 0.0, heavy, crowd: None }).run();
+        let counts = Sim::new(&day, Options { warm, uneven: 0.0, heavy, ..Options::default() }).run();
         assert!(!counts.broken());
         let goodput = counts.goodput(4..10);
         assert!(goodput > 0.9, "{goodput} with {heavy} at one proxy");
     }
 }
+
+/// Every node is restarted while hundreds of proxies start, so that each change of the list wakes all that watch it.
+fn restarted(proxies: usize, nodes: usize, options: Options) -> Counts {
+    let mut day = still(proxies, nodes, 12);
+    let (at, length) = (Duration::ZERO, Duration::from_millis(100));
+    day.troubles =
+        vec![Trouble { kind: TroubleKind::Crash, at, length, part: Some(1.0), nodes: None, size: None }];
+    let counts = Sim::new(&day, options).run();
+    assert!(!counts.broken(), "{:?}", (counts.fell, counts.stopped, counts.ran_twice, counts.drains_broken));
+    counts
+}
+
+#[test]
+fn proxies_that_ask_at_their_moments_spare_the_list_service_and_the_nodes() {
+    let (proxies, warm) = (120, Duration::from_secs(1));
+    let list = |paced| Some(Service { paced, ..Service::default() });
+    let most = |counts: &[u64]| counts.iter().copied().max().unwrap_or(0);
+    let free = restarted(proxies, 20, Options { warm, list: list(false), ..Options::default() });
+    let opening = Some((40.0, 200.0));
+    let paced = restarted(proxies, 20, Options { warm, list: list(true), opening, ..Options::default() });
+    // One in a cycle of 2.5 s each; a second's edge may fall between two proxies' moments.
+    let bound = (proxies as f64 / 2.5).ceil() as u64 + 1;
+    assert!(most(&paced.list_asks) <= bound, "{bound} a second: {:?}", paced.list_asks);
+    assert!(most(&free.list_asks) > 10 * bound, "{:?}", free.list_asks);
+    // By the end of the first cycle of 3 s a node was opened at its rate, and one more for each proxy at most.
+    let opened = |counts: &Counts| most(&counts.met[0].opened_most);
+    assert!(opened(&paced) <= 40 + proxies as u64 && opened(&paced) < opened(&free), "{:?}", paced.met[0]);
+}
+
+#[test]
+fn a_list_service_that_was_down_is_not_hammered_when_it_is_back() {
+    let (proxies, warm) = (120, Duration::from_secs(1));
+    let down = Duration::from_secs(6);
+    let service = |paced| {
+        let retry_after = Duration::from_secs(1);
+        Some(Service { paced, takes: Some(30), retry_after, down })
+    };
+    let paced = restarted(proxies, 20, Options { warm, list: service(true), ..Options::default() });
+    let bound = (proxies as f64 / 2.5).ceil() as u64 + 1;
+    assert!(paced.list_asks.iter().all(|asks| *asks <= bound), "{:?}", paced.list_asks);
+    assert!(paced.list_refused > 0, "past 30 a second it refuses: {:?}", paced.list_asks);
+}
--- /dev/null
+++ b/crates/lab/tests/cold.rs
@@ -0,0 +1,95 @@
+//! A cold start of real proxies under faults: the list service down before they start, a third parted from it, half of
+//! them killed and started again on kept and on spoilt lists, one standing still, one with a wrong clock. Together they
+//! never ask the list service more than once each in a cycle, and no rule is broken.
+
+use aniseyoke_lab::rig::plan::Plan;
+use aniseyoke_lab::rig::play::{self, day_of};
+use aniseyoke_lab::trial::{find_proxy, Program};
+use std::sync::atomic::AtomicBool;
+
+const PROXIES: u64 = 8;
+/// The day's lists must be asked for each 10 s; a quarter of that is the cycle.
+const CYCLE_S: f64 = 2.5;
+
+const COLD: &str = r#"
+day = "quiet"
+proxies = 8
+nodes = 6
+length = "17s"
+
+[[clock]]
+proxies = ["proxy:7"]
+ahead = "7s"
+
+[[link]]
+at = "0s"
+for = "2s"
+early = true
+fault = "reset"
+a = ["proxies"]
+b = ["discovery"]
+
+[[link]]
+at = "5s"
+for = "6s"
+fault = "partition"
+a = ["proxy:5-6"]
+b = ["discovery"]
+
+[[process]]
+at = "10s"
+spread = "500ms"
+action = "kill"
+proxies = ["proxy:0-1"]
+for = "500ms"
+
+[[process]]
+at = "10s"
+spread = "500ms"
+action = "kill"
+proxies = ["proxy:2-3"]
+for = "500ms"
+state = "spoilt"
+
+[[process]]
+at = "6s"
+action = "pause"
+proxies = ["proxy:4"]
+for = "4s"
+"#;
+
+#[test]
+fn a_cold_start_under_faults_spares_the_list_service() {
+    let plan = Plan::parse("cold", COLD).expect("a sound plan");
+    let day = day_of(&plan, None).expect("its day");
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("operator.toml");
+    std::fs::write(&file, "[list]\nkeep = \"state\"\n[opening]\nper_node = 20.0\n").expect("written");
+    let mut program = Program::new(find_proxy(None).expect("the proxy"));
+    program.operator = Some(file);
+    let outcome = play::run(&plan, &day, program, 3, folder.path(), &AtomicBool::new(false)).expect("played");
+    let table = play::table(&outcome);
+    assert!(outcome.clean(), "{table}");
+    assert!(outcome.all.goodput > 0.8, "{table}");
+    // In any cycle each proxy asks once at most; a second's edge may fall between two proxies' moments.
+    let most = (PROXIES as f64 / CYCLE_S).ceil() as u64 + 1;
+    assert!(
+        outcome.list_asks.iter().all(|asks| *asks <= most),
+        "{most} a second: {:?}\n{table}",
+        outcome.list_asks
+    );
+    assert!(outcome.list_asks.iter().sum::<u64>() > 2 * PROXIES, "{:?}", outcome.list_asks);
+    // While the links were reset no call came to the service.
+    assert!(outcome.links.reset > 0 && outcome.links.held > 0, "{table}");
+    let log = std::fs::read_to_string(folder.path().join("processes.log")).expect("a log");
+    let lines = |me: usize, part: &str| {
+        let who = format!(" p{me}[");
+        log.lines().filter(|l| l.contains(&who) && l.contains(part)).count()
+    };
+    for me in [0, 1] {
+        assert_eq!(lines(me, "begun with version"), 1, "proxy {me} begins with the list it kept\n{log}");
+    }
+    for me in [2, 3] {
+        assert_eq!(lines(me, "the kept list is damaged, not used and put aside"), 1, "proxy {me}\n{log}");
+    }
+}
--- a/crates/proxy/src/discovery/kept.rs
+++ b/crates/proxy/src/discovery/kept.rs
@@ -35,6 +35,7 @@
     site: String,
     /// By id; none: not told whole yet.
     entries: Option<BTreeMap<String, Member>>,
+    /// Of the list that was written last; none: none was.
     version: Option<u64>,
     written: Option<Instant>,
     anew: Duration,
@@ -67,7 +68,9 @@
         }
         None => platform(config),
     };
-    let keeper = Keeper::start(folder, file, site, rules.fresh_for / ANEW_PART, found);
+    // What the service tells next may be changes to the list that is held, wherever that came from.
+    let list = config.known.as_ref().filter(|known| known.full);
+    let keeper = Keeper::start(folder, file, site, rules.fresh_for / ANEW_PART, list);
     (held, keeper.map_err(|why| tracing::warn!("the list is not kept: {why}")).ok())
 }
 
@@ -117,7 +120,7 @@
         file: PathBuf,
         site: String,
         anew: Duration,
-        found: Option<Kept>,
+        list: Option<&Members>,
     ) -> Result<Self, String> {
         std::fs::create_dir_all(folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let mut store = Sealed::new(Disk, file, MAGIC);
@@ -135,10 +138,7 @@
             failing = done.is_err();
         };
         let keeping = Keeping::start(write).map_err(|e| format!("no thread: {e}"))?;
-        // What the service tells next may be changes to the list that was found.
-        let version = found.as_ref().map(|kept| kept.list.version);
-        let entries = found.map(|kept| by_id(&kept.list));
-        Ok(Keeper { site, entries, version, written: None, anew, keeping })
+        Ok(Keeper { site, entries: list.map(by_id), version: None, written: None, anew, keeping })
     }
 
     /// The service has told the list or changes of it, perhaps none.
@@ -146,7 +146,7 @@
         if members.full {
             self.entries = Some(by_id(members));
         }
-        // Changes to a list that the platform told are no list; the next whole one is kept.
+        // Changes to a list that is not held are no list; the next whole one is kept.
         let Some(entries) = &mut self.entries else { return };
         for member in members.servers.iter().filter(|_| !members.full) {
             if member.gone() {
