--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod commit;
 pub mod follower;
 pub mod frame;
 pub mod hosted;
