Wait for a kept connection to be closed in a test that looked once

Cause: the test read once without waiting, after three answers (tests/proxy.rs); the proxy spares a client that may be about to ask, judged by time, so on a busy machine it closes a little later. Change: the test waits for the end, within the rig's limit.

--- a/crates/proxy/tests/proxy.rs
+++ b/crates/proxy/tests/proxy.rs
@@ -5,7 +5,7 @@
 use rig::*;
 use serde_json::{json, Value};
 use socket2::{Domain, Socket, Type};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::process::Command;
 #[test]
@@ -706,11 +706,10 @@
     let mut kept: Vec<Peer> = (0..6).map(|_| proxy.client()).collect();
     kept.iter_mut().for_each(health);
     let mut newest = proxy.client();
-    // What it closes at its coming is closed before its later requests are answered.
-    (0..3).for_each(|_| health(&mut newest));
-    let first = kept[0].0.get_mut();
-    first.set_nonblocking(true).expect("set");
-    assert_eq!(first.read(&mut [0]).expect("closed"), 0);
+    health(&mut newest);
+    // It goes once it is plain that it is not about to ask, which on a busy machine comes a little later.
+    assert_eq!(kept[0].read(), None);
+    health(&mut newest);
 }
 
 #[test]
