Mend what a second reading found: tables, disks, clocks, files, counts

Seen on reading the change once more, with the lines at fault: members that were never granted a lease stayed in the leader's table of 20,000 for good (commit/leader.rs, tick); a replica whose disk lost its records would panic inside raft at the leader's heartbeat, and a log opened with other members was taken without a word (replica.rs step, store.rs open); a kept list of up to 64 MB would be read by a proxy of 32 MB (discovery/kept.rs); a slip in ANISEYOKE_CLOCK was passed over (wall.rs); tests/cold.rs said a third and parted two of eight; the rig counted attempts at a node and not those it turned away for lack of room, so that 'no node over its limits' could not fail.

--- a/crates/control/src/commit/leader.rs
+++ b/crates/control/src/commit/leader.rs
@@ -116,8 +116,9 @@
                 if self.members.len() >= MEMBERS_MOST && !self.members.contains_key(name) {
                     return;
                 }
+                // Who is never granted one is forgotten in time as well.
                 let member = self.members.entry(name.clone()).or_insert(Standing {
-                    lease: 0,
+                    lease: now,
                     runs: None,
                     prepared: None,
                 });
@@ -187,7 +188,7 @@
         self.decide(now, orders);
         // Who is gone for long is forgotten; it is met again as anyone is.
         let forgotten = self.times.over().saturating_mul(10);
-        self.members.retain(|_, m| m.lease.saturating_add(forgotten) > now || m.lease == 0);
+        self.members.retain(|_, m| m.lease.saturating_add(forgotten) > now);
     }
 
     /// Asks for the commit once every member that may take requests has prepared the open change, and for its abort once that
--- a/crates/lab/src/cli/sim.rs
+++ b/crates/lab/src/cli/sim.rs
@@ -139,8 +139,8 @@
     for (who, met) in ["a node", "the ledger"].iter().zip(&c.met) {
         let (most, all) = (met.opened_most.iter().max().unwrap_or(&0), met.opened.iter().sum::<u64>());
         println!(
-            "{who}: {most} connections a second at most ({all} in all), {} attempts out at most",
-            met.out_most
+            "{who}: {most} connections a second at most ({all} in all), {} attempts out at most, {} turned away for lack of room",
+            met.out_most, met.full
         );
     }
     if !c.list_asks.is_empty() {
--- a/crates/lab/src/rig/play.rs
+++ b/crates/lab/src/rig/play.rs
@@ -336,9 +336,10 @@
     for (who, met) in [("a node", &outcome.nodes), ("the ledger", &outcome.ledger)] {
         let (all, most) = (met.opened.iter().sum::<u64>(), met.opened_most.iter().max().unwrap_or(&0));
         text += &format!(
-            "{who}: {most} connections a second at most ({all} in all), {} held at once, {} attempts out, {} turned away\n",
+            "{who}: {most} connections a second at most ({all} in all), {} held at once, {} attempts out, {} of them turned away for lack of room, {} connections turned away\n",
             met.held_most,
             met.out_most,
+            met.full,
             met.turned.iter().sum::<u64>()
         );
     }
--- a/crates/lab/src/sim/run.rs
+++ b/crates/lab/src/sim/run.rs
@@ -107,7 +107,11 @@
                     (Reply::Served { .. }, Manner::Cut) => Back::Reset,
                     (Reply::Served { .. }, _) | (Reply::Error, _) => Back::Error,
                     (Reply::Miss, _) => Back::Miss,
-                    (Reply::Full, _) => Back::Full,
+                    (Reply::Full, _) => {
+                        let ledger = self.out.get(&ticket).is_some_and(|o| o.ledger);
+                        self.toll.full(ledger);
+                        Back::Full
+                    }
                 };
                 let way = self.way();
                 self.later(way, Happening::Back(ticket, back));
--- a/crates/lab/src/site/node.rs
+++ b/crates/lab/src/site/node.rs
@@ -196,7 +196,10 @@
             (404, "Not Found", "", Vec::new())
         }
         Reply::Error => (500, "Internal Server Error", "", Vec::new()),
-        Reply::Full => (503, "Service Unavailable", "X-Unprocessed: 1\r\n", Vec::new()),
+        Reply::Full => {
+            hall.toll.borrow_mut().full(hall.world.borrow().is_ledger(ask.member));
+            (503, "Service Unavailable", "X-Unprocessed: 1\r\n", Vec::new())
+        }
     };
     let sound = matches!(manner, Manner::Plain | Manner::Pieces(_));
     let (request, attempt) = (ask.request, ask.ticket);
--- a/crates/lab/src/site/toll.rs
+++ b/crates/lab/src/site/toll.rs
@@ -27,6 +27,8 @@
     pub out_most: u64,
     /// Connections turned away for being past what a node takes, for each second.
     pub turned: Vec<u64>,
+    /// Attempts turned away for lack of slots and room.
+    pub full: u64,
 }
 
 /// Seconds that are counted.
@@ -105,6 +107,11 @@
         met.out_most = met.out_most.max(out);
     }
 
+    /// An attempt was turned away for lack of room.
+    pub fn full(&mut self, ledger: bool) {
+        self.met[usize::from(ledger)].full += 1;
+    }
+
     /// What cache nodes and the ledger were met with.
     pub fn met(&self) -> [Met; 2] {
         self.met.clone()
@@ -128,11 +135,13 @@
         toll.out(1, false, true);
         toll.out(1, false, true);
         toll.out(1, false, false);
+        toll.full(false);
         let [nodes, ledger] = toll.met();
         assert_eq!(
             (&nodes.opened[..], &nodes.opened_most[..], &nodes.turned[..]),
             (&[3, 3][..], &[3, 2][..], &[1, 1][..])
         );
         assert_eq!((nodes.held_most, nodes.out_most, ledger.held_most), (4, 2, 9));
+        assert_eq!((nodes.full, ledger.full), (1, 0));
     }
 }
--- a/crates/lab/tests/cold.rs
+++ b/crates/lab/tests/cold.rs
@@ -33,7 +33,7 @@
 at = "5s"
 for = "6s"
 fault = "partition"
-a = ["proxy:5-6"]
+a = ["proxy:5-7"]
 b = ["discovery"]
 
 [[process]]
--- a/crates/proxy/src/discovery/kept.rs
+++ b/crates/proxy/src/discovery/kept.rs
@@ -20,7 +20,9 @@
 /// While nothing changes it is written anew after this part of the time for which it counts, so that it stays fresh.
 const ANEW_PART: u32 = 8;
 /// Entries of a list; with more it is not kept.
-const ENTRIES_MOST: usize = 1 << 16;
+const ENTRIES_MOST: usize = 1 << 14;
+/// A larger file is not read, in bytes: such a list takes less. Danger: a proxy may have 32 MB for everything.
+const FILE_MOST: u64 = 4 << 20;
 
 /// What stands in the file.
 #[derive(Serialize, Deserialize)]
@@ -77,6 +79,11 @@
 /// The list in a file, if it may be used.
 fn find(file: &Path, site: &str, fresh_for: Duration, config: &Config) -> Option<Kept> {
     let name = file.display();
+    let length = std::fs::metadata(file).map_or(0, |about| about.len());
+    if length > FILE_MOST {
+        tracing::warn!("{name}: the kept list is not used: {length} bytes are more than {FILE_MOST}");
+        return None;
+    }
     let kept: Kept = match Sealed::new(Disk, file.to_owned(), MAGIC).find() {
         Ok(Found::Nothing) => return None,
         Ok(Found::Whole(payload)) => match serde_json::from_slice(&payload) {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -5,7 +5,7 @@
 use crate::front::Beyond;
 use crate::opening::Opening;
 use crate::versions::{last_good, reserve, Below, InForce, Serving, Subscription};
-use crate::{front, operator};
+use crate::{front, operator, wall};
 use aniseyoke_config::layers::Resolved;
 use aniseyoke_config::Fault;
 use aniseyoke_control::Version;
@@ -47,6 +47,7 @@
     let hangup = signal(SignalKind::hangup()).map_err(|e| one(format!("SIGHUP: {e}")))?;
     let resolved = operator::read(file.as_deref()).map_err(|faults| told(&faults))?;
     let log = aniseyoke_logging::start(&operator::log_options(&resolved.operator.log)).map_err(one)?;
+    wall::start().map_err(one)?;
     let platform = Config::from_env().map_err(one)?;
     let source = file.as_deref().map(operator::source).transpose().map_err(|fault| told(&[fault]))?;
     let below = Arc::new(Below { platform, file: source });
--- a/crates/proxy/tests/lists.rs
+++ b/crates/proxy/tests/lists.rs
@@ -67,10 +67,7 @@
 }
 
 fn list_at(door: SocketAddr) -> Value {
-    let mut caller = Peer::to(door);
-    caller.write("GET /api/version HTTP/1.1\r\nHost: a\r\n\r\n");
-    let told: Value = serde_json::from_slice(&caller.answer().body).expect("JSON");
-    told["list"].clone()
+    version_at(door)["list"].clone()
 }
 
 #[test]
--- a/crates/proxy/tests/rig/mod.rs
+++ b/crates/proxy/tests/rig/mod.rs
@@ -326,3 +326,10 @@
 pub fn about(door: SocketAddr, call_path: &str, id: &str) -> u16 {
     call(door, "POST", call_path, &json!({ "id": id }).to_string())
 }
+
+/// What an operators' door tells of the version.
+pub fn version_at(door: SocketAddr) -> Value {
+    let mut caller = Peer::to(door);
+    caller.write("GET /api/version HTTP/1.1\r\nHost: a\r\n\r\n");
+    serde_json::from_slice(&caller.answer().body).expect("JSON")
+}
--- a/crates/proxy/tests/versions.rs
+++ b/crates/proxy/tests/versions.rs
@@ -78,12 +78,6 @@
     }
 }
 
-fn version_at(door: SocketAddr) -> Value {
-    let mut caller = Peer::to(door);
-    caller.write("GET /api/version HTTP/1.1\r\nHost: a\r\n\r\n");
-    serde_json::from_slice(&caller.answer().body).expect("JSON")
-}
-
 fn one_at_a_time() -> Value {
     json!({ "limits": { "node": { "floor": 1.0, "start": 1.0, "ceiling": 1.0 }, "queue": { "most": 0 } } })
 }
--- a/crates/replica/src/replica.rs
+++ b/crates/replica/src/replica.rs
@@ -2,7 +2,7 @@
 
 use super::store::{Failed, Store};
 use protobuf::Message as _;
-use raft::eraftpb::{Entry, EntryType, Message};
+use raft::eraftpb::{Entry, EntryType, Message, MessageType};
 use raft::{Config, RawNode, ReadOnlyOption, StateRole};
 use std::fmt;
 
@@ -176,6 +176,14 @@
         if !member || message.to != self.id() || raft::raw_node::is_local_msg(message.get_msg_type()) {
             return Ok(Err(NotDone::Unreadable));
         }
+        // Danger: raft itself panics at this. A leader tells what it knows this replica to have had on disk.
+        let last = raft::Storage::last_index(self.node.store())?;
+        if message.get_msg_type() == MessageType::MsgHeartbeat && message.commit > last {
+            let (had, id) = (message.commit, self.id());
+            let why =
+                format!("it ends at {last}, and replica {id} had {had} records: its disk has lost some");
+            return Err(Error::Store(why.into()));
+        }
         match self.node.step(message) {
             // Late answers to what this one asked as a leader or candidate.
             Ok(()) | Err(raft::Error::StepPeerNotFound | raft::Error::ProposalDropped) => {}
--- a/crates/replica/src/store.rs
+++ b/crates/replica/src/store.rs
@@ -30,7 +30,7 @@
     /// Opens the log in a file, or begins one there with these members.
     ///
     /// # Errors
-    /// If the file can't be had, or is no log.
+    /// If the file can't be had, is no log, or is one of other members.
     pub fn open(path: &Path, members: &[u64]) -> Result<Self, Failed> {
         let disk = Database::create(path)?;
         let begin = disk.begin_write()?;
@@ -53,12 +53,22 @@
         }
         let snapshot = match snapshot {
             Some(snapshot) => snapshot,
+            None if !entries.is_empty() => return Err("it has records, and not whose they are".into()),
             None => {
                 let mut first = Snapshot::default();
                 first.mut_metadata().mut_conf_state().voters = members.to_vec();
+                let write = disk.begin_write()?;
+                write.open_table(META)?.insert(SNAPSHOT, &*first.write_to_bytes()?)?;
+                write.commit()?;
                 first
             }
         };
+        // Danger: with other members there could be two majorities that know nothing of each other.
+        let sorted = |ids: &[u64]| ids.iter().copied().collect::<std::collections::BTreeSet<u64>>();
+        let held = sorted(&snapshot.get_metadata().get_conf_state().voters);
+        if held != sorted(members) {
+            return Err(format!("it is a log of members {held:?}, and not of {members:?}").into());
+        }
         let mut store = Store { disk, hard, snapshot, entries };
         // Entries that a snapshot covers stay until the next write; they do not count.
         let behind = store.behind();
--- a/crates/replica/tests/group.rs
+++ b/crates/replica/tests/group.rs
@@ -264,6 +264,40 @@
     assert!(group.snapshots > before && group.texts(away) == ["behind"]);
 }
 
+#[test]
+fn a_replica_whose_disk_lost_its_records_ends_with_an_error_and_no_panic() {
+    let mut group = Group::new(3);
+    let leader = group.leader();
+    group.propose(leader, "one").expect("taken");
+    group.until_all_have(&["one"]);
+    let wiped = (1..=3).find(|id| *id != leader).expect("another");
+    group.kill(wiped);
+    std::fs::remove_file(group.path(wiped)).expect("removed");
+    group.start(wiped);
+    let mut ended = None;
+    for _ in 0..LONG {
+        let out = group.up.get_mut(&leader).expect("up").tick().expect("sound");
+        for (_, bytes) in out.messages.iter().filter(|(to, _)| *to == wiped) {
+            ended = ended.or(group.up.get_mut(&wiped).expect("up").step(bytes).err());
+        }
+        if ended.is_some() {
+            break;
+        }
+    }
+    let why = ended.expect("it ends").to_string();
+    assert!(why.contains("its disk has lost some"), "{why}");
+}
+
+#[test]
+fn a_log_of_other_members_is_not_opened() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("log");
+    drop(Store::open(&path, &[1, 2, 3]).expect("made"));
+    drop(Store::open(&path, &[3, 2, 1]).expect("the same ones"));
+    let why = Store::open(&path, &[1, 2, 3, 4, 5]).err().expect("others").to_string();
+    assert!(why.contains("members {1, 2, 3}, and not of [1, 2, 3, 4, 5]"), "{why}");
+}
+
 #[test]
 fn what_is_no_message_of_a_member_changes_nothing() {
     let mut group = Group::new(3);
