Renew a silent watch before its news counts as told, and watch where lists are pushed

Ruled out: the decision on drains (no send after the list was told), the connection side (epochs). On gwangju-fares no proxy made any call: the module follows a list only where it must be asked for, and on sockets nothing comes unasked. Change: wait, grace (1 s), opening and the next call's turn (2 s) add up to the 6 s; a watch that is late is renewed at once and gets 2 s of grace, so that a slow service is not asked again and again; on sockets a list is always followed.

--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -23,11 +23,18 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
+/// A watch that says nothing any more counts as having told its news so long after it fell silent.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
 /// How long discovery may take beyond the wait that it was asked for.
-const GRACE: Duration = Duration::from_secs(2);
+const GRACE: Duration = Duration::from_secs(1);
+/// The same once an answer came later than that, and how long a call may wait for its turn there.
+const GRACE_MOST: Duration = Duration::from_secs(2);
 /// How long it may take for the whole list, for which it waits for nothing.
 const WHOLE: Duration = Duration::from_millis(1200);
+/// How long a connection takes to come up where all is well.
+const OPENS: Duration = Duration::from_millis(200);
 const CONNECT: Duration = Duration::from_secs(1);
 /// The waits between the calls at a new address that has not answered yet double from the first to the last.
 const AGAIN: Duration = Duration::from_millis(50);
@@ -48,6 +55,8 @@
     names: Rc<Names>,
     /// At an address that has not answered yet: the wait before the next call.
     again: Option<Duration>,
+    /// How long the answer to the next call may take beyond the wait asked for.
+    grace: Duration,
     /// When calls may go out, where that is limited.
     paced: Option<Paced>,
 }
@@ -95,12 +104,15 @@
         names: Rc<Names>,
         paced: Option<Paced>,
     ) -> Self {
-        // Half the time in which the list must be asked for: a watch that died unseen is replaced before the
-        // proxy counts as told what it never heard.
-        let hold =
-            Duration::from_nanos(must_ask_in / 2).clamp(Duration::from_secs(1), Duration::from_secs(20));
+        // Danger: what a watch that died unseen would have told counts as told. The wait, the grace and the call that
+        // takes its place, which may wait for its turn, have to be over by then.
+        let most = TOLD_AFTER - GRACE - OPENS - GRACE_MOST;
+        let hold = match must_ask_in {
+            0 => most,
+            limit => Duration::from_nanos(limit / 2).clamp(Duration::from_secs(1), most),
+        };
         let descriptors = Descriptors::new(DESCRIPTORS);
-        Discovery { addr, version, hold, descriptors, sender: None, names, again: None, paced }
+        Discovery { addr, version, hold, descriptors, sender: None, names, again: None, grace: GRACE, paced }
     }
 
     /// Starts a watch each time that the module asks for one, and follows it until it breaks. An address that comes
@@ -159,6 +171,12 @@
                 Err(e) => {
                     tracing::warn!("discovery at {}: {e}", self.addr);
                     self.sender = None;
+                    // Danger: a watch that says nothing is no discovery that is down; to wait before the next call
+                    // spends the time in which its news counts as told. A discovery that is slow gets more time.
+                    if matches!(e, Fault::Late) && self.paced.is_none() && self.grace < GRACE_MOST {
+                        self.grace = GRACE_MOST;
+                        continue;
+                    }
                     self.paced.iter_mut().for_each(|p| p.failed(&e));
                     // Danger: the module's waits after a failure are made for a discovery that is down, and are
                     // longer than the time in which the news of a new one must be known.
@@ -192,12 +210,13 @@
     }
 
     async fn call(&mut self) -> Result<Members, Fault> {
+        let began = Instant::now();
         let limit = match &self.paced {
             Some(paced) => self.version.map_or(Duration::ZERO, |_| paced.hold()) + paced.answer_within(),
-            None => self.version.map_or(WHOLE, |_| self.hold + GRACE),
+            None => self.version.map_or(WHOLE, |_| self.hold + self.grace),
         };
         let kept = self.sender.is_some();
-        match tokio::time::timeout(limit, self.exchange()).await {
+        let called = match tokio::time::timeout(limit, self.exchange()).await {
             Err(_) => Err(Fault::Late),
             Ok(Err(Fault::Broken(_))) if kept && self.sender.is_none() => {
                 // A kept connection that has ended says nothing of discovery; a watch must go on at once.
@@ -205,7 +224,11 @@
                 again.unwrap_or(Err(Fault::Late))
             }
             Ok(done) => done,
+        };
+        if called.is_ok() && began.elapsed() < self.hold + GRACE {
+            self.grace = GRACE;
         }
+        called
     }
 
     async fn exchange(&mut self) -> Result<Members, Fault> {
--- a/crates/proxy/tests/rig/mod.rs
+++ b/crates/proxy/tests/rig/mod.rs
@@ -88,6 +88,14 @@
         }
     }
 
+    /// Whether the peer neither sends anything nor ends the connection for so long.
+    pub fn stays_open(&mut self, time: Duration) -> bool {
+        self.0.get_ref().set_read_timeout(Some(time)).expect("time-out");
+        let read = self.0.fill_buf().map(<[u8]>::len);
+        self.0.get_ref().set_read_timeout(Some(LONG)).expect("time-out");
+        read.is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     pub fn request(&mut self) -> Message {
         self.read().expect("a request")
     }
--- /dev/null
+++ b/crates/proxy/tests/watches.rs
@@ -0,0 +1,80 @@
+//! Where a watch on the list and something else cross, at the real program. Each crossing is made by a peer that holds back.
+
+mod rig;
+
+use rig::*;
+use serde_json::{json, Value};
+use std::time::{Duration, Instant};
+
+/// A watch that says nothing any more counts as having told its news so long after it fell silent.
+const TOLD_AFTER: Duration = Duration::from_secs(6);
+/// A call may wait for its turn at the list service for so long.
+const TURN: Duration = Duration::from_secs(2);
+
+/// How long a watch asks to wait.
+fn hold(line: &str) -> Duration {
+    let told = line.split("hold_ms=").nth(1).and_then(|rest| rest.split([' ', '&']).next());
+    Duration::from_millis(told.and_then(|ms| ms.parse().ok()).expect("a wait"))
+}
+
+fn drained(r: &Rig, version: u64) -> String {
+    list(version, false, &[member("c1", r.cache.addr, "std", "draining")]).to_string()
+}
+
+/// Danger: what a silent watch would have told counts as told 6 s later; a call that comes after that is too late, and one
+/// that comes just before may still wait for its turn.
+#[test]
+fn a_silent_watch_is_replaced_before_its_news_counts_as_told() {
+    let r = rig();
+    let mut silent = r.discovery.take();
+    let (began, asked) = (Instant::now(), hold(&silent.request().line));
+    let mut next = r.discovery.take();
+    let took = began.elapsed();
+    assert!(took > asked, "it was not given the time that it was asked to wait: {took:?} of {asked:?}");
+    assert!(took + TURN < TOLD_AFTER, "the next call came after {took:?}");
+    assert_eq!(silent.read(), None, "what may still come on the old one is not heard");
+    next.request();
+    next.reply("200 OK", "", &drained(&r, 42));
+    next.request();
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    assert_eq!(client.answer().status(), 503);
+    assert!(r.cache.none_came());
+}
+
+/// Danger: to ask a service that is slow for all again and again would keep it slow.
+#[test]
+fn a_list_service_that_is_slow_gets_more_time_and_is_not_asked_twice() {
+    let (cache, origin, discovery) = (Server::new(), Server::new(), Server::new());
+    let mut quick = config(discovery.addr, &[member("c1", cache.addr, "std", "ready")]);
+    quick["settings"]["rules"]["must_ask_in_ns"] = json!(2_000_000_000u64);
+    let mut r = Rig { proxy: Proxy::new(&quick), cache, origin, discovery };
+    let mut silent = r.discovery.take();
+    let asked = hold(&silent.request().line);
+    let mut slow = r.discovery.take();
+    slow.request();
+    let late = asked + Duration::from_millis(1500);
+    assert!(slow.stays_open(late), "it was given up within {late:?}");
+    slow.reply("200 OK", "", &list(41, false, &[]).to_string());
+    slow.request();
+    r.proxy.signal("-TERM");
+    assert_eq!(r.proxy.logged("draining"), 1, "the module heard of a discovery that is down");
+}
+
+/// Danger: where lists are pushed nothing comes on sockets unless it is asked for, and all of it counts as told.
+#[test]
+fn where_lists_are_pushed_they_are_watched_as_well() {
+    let (cache, origin, discovery) = (Server::new(), Server::new(), Server::new());
+    let servers = [member("c1", cache.addr, "std", "ready"), member("o1", origin.addr, "origin", "ready")];
+    let mut pushed = config(discovery.addr, &servers);
+    pushed["settings"]["discovery"] = json!("automatic");
+    pushed["settings"]["rules"]["must_ask_in_ns"] = Value::Null;
+    let r = Rig { proxy: Proxy::new(&pushed), cache, origin, discovery };
+    let mut watch = r.discovery.take();
+    assert!(watch.request().line.contains("from=41"));
+    watch.reply("200 OK", "", &drained(&r, 42));
+    assert!(hold(&watch.request().line) + TURN < TOLD_AFTER);
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    assert_eq!(client.answer().status(), 503);
+}
