Answer what comes late to a process that stops, and write no repeat past its window

A request that comes more than 0.7 s after SIGTERM on a connection still open (an answer that streamed across the signal) kept a deadline beyond SIGKILL, which counts deadlines over 3 s as 3 s; unanswered then it is lost. A keyed repeat was checked against its window at the decision (choice.rs, in_group, 100 ms for the way); a connection that came up late let it be written "2.045816001s after the first" with a window of 1.5 s.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -36,6 +36,8 @@
     /// When it is over at the latest, counted from then.
     wait: Nanos,
     at: At<T>,
+    /// It is sure that it never ran.
+    void: bool,
 }
 
 /// Where an attempt is.
@@ -63,6 +65,8 @@
     job: Rc<F::Job>,
     /// What is out for it may be called off, by the settings that it came under.
     cancel: bool,
+    /// How long nodes know a repeat, where they have to.
+    window: Option<Nanos>,
     /// What the client waits from its last byte on.
     patience: Nanos,
     /// None while that byte has not come.
@@ -176,11 +180,13 @@
             let myself = self.myself.clone();
             job.on_taken(move || myself.upgrade().iter().for_each(|engine| engine.taken(id)));
         }
+        let class = core.plan.settings.classes.get(request.class as usize);
         let pending = Pending {
             class: request.class as usize,
             tenant: request.tenant.map(|t| t as usize),
             job: job.clone(),
             cancel: core.plan.settings.cancel,
+            window: class.filter(|c| c.effect == Effect::Keyed).map(|c| c.dedup_window),
             patience: patience_left,
             deadline: (!comes).then(|| now.saturating_add(patience_left)),
             answer: Some(answer),
@@ -314,7 +320,7 @@
         let number = pending.attempts.len();
         let left = pending.deadline.map_or(pending.patience, |deadline| deadline.saturating_sub(now));
         let wait = if timeout == 0 { left } else { timeout.min(left) };
-        pending.attempts.push(Attempt { server, sent: now, wait, at: At::Queue });
+        pending.attempts.push(Attempt { server, sent: now, wait, at: At::Queue, void: false });
         if pending.answer.is_none() || left == 0 {
             return self.settle(core, id, number, Status::Moot, None, events);
         }
@@ -335,9 +341,14 @@
         let now = self.clock.now();
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let job = pending.job.clone();
+        // Danger: between the decision on a repeat and its writing lie a queue and a connection that comes up late.
+        let ran = pending.attempts.iter().take(number).filter(|a| !a.void).map(|a| a.sent).min();
+        let known =
+            ran.zip(pending.window).map(|(sent, window)| sent.saturating_add(window).saturating_sub(now));
         let Some(attempt) = pending.attempts.get_mut(number) else { return };
         let wait = Duration::from_nanos(attempt.wait.saturating_sub(now.saturating_sub(attempt.sent)).max(1));
         let (tether, myself) = (Rc::new(F::Tether::default()), self.myself.clone());
+        known.into_iter().for_each(|known| tether.only_within(Duration::from_nanos(known)));
         let trying = self.fleet.clone().attempt(attempt.server, job, wait, tether.clone());
         let task = tokio::task::spawn_local(async move {
             let ended = trying.await;
@@ -372,6 +383,7 @@
         let Some(pending) = core.pending.get_mut(&id) else { return };
         let Some(attempt) = pending.attempts.get_mut(number) else { return };
         let at = std::mem::replace(&mut attempt.at, At::Over);
+        attempt.void = status.never_ran();
         let (server, elapsed) = (attempt.server, now.saturating_sub(attempt.sent));
         let (class, last) = (pending.class, pending.answer.is_none());
         let outcome = Outcome { id, attempt: number as u32, server, status, elapsed, last, hit };
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -26,6 +26,7 @@
 impl Tether for Nothing {
     fn bar(&self) {}
     fn cut(&self) {}
+    fn only_within(&self, _time: Duration) {}
 }
 
 /// What was started, in order, with the end that each attempt waits for.
--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -30,6 +30,9 @@
 
     /// Ends the attempt now, and its connection with it.
     fn cut(&self);
+
+    /// What is not yet written by the end of this time stays unwritten: a repeat would no longer be known for one.
+    fn only_within(&self, time: Duration);
 }
 
 /// What came of an attempt.
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -63,6 +63,8 @@
     /// The ids of all requests that lack their answer. Their hash is keyed, since clients choose them.
     ids: RefCell<HashSet<HeaderValue>>,
     left: Notify,
+    /// When a process that was told to stop may be ended with whatever it has not answered.
+    killed_at: Cell<Option<Instant>>,
 }
 
 /// What the operator sets beyond the platform's settings.
@@ -160,6 +162,7 @@
         clients: RefCell::default(),
         ids: RefCell::default(),
         left: Notify::new(),
+        killed_at: Cell::new(None),
     });
     let watched = server.clone();
     tokio::task::spawn_local(async move {
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::{Method, Request, StatusCode};
+use tokio::time::Instant;
 
 pub const CORRELATION_ID: HeaderName = HeaderName::from_static("x-correlation-id");
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
@@ -68,7 +69,7 @@
             tenant: tenant.map(|t| t as u32),
             pool: None,
             key: parts.next_back().filter(|k| !k.is_empty()).map(key),
-            remaining: patience,
+            remaining: self.killed_at.get().map_or(patience, |at| patience.min(nanos_until(at))),
             write,
             retry: head.headers.get(REPEAT).is_some_and(|v| v == "1"),
         };
@@ -82,6 +83,10 @@
     }
 }
 
+fn nanos_until(at: Instant) -> Nanos {
+    Nanos::try_from(at.saturating_duration_since(Instant::now()).as_nanos()).unwrap_or(Nanos::MAX)
+}
+
 /// An id is printable and has no blanks: anything else may be read otherwise by who it is passed on to.
 fn well_formed(id: &HeaderValue) -> bool {
     (1..=ID_MOST).contains(&id.len()) && id.as_bytes().iter().all(u8::is_ascii_graphic)
--- a/crates/proxy/src/front/stop.rs
+++ b/crates/proxy/src/front/stop.rs
@@ -14,6 +14,8 @@
 const ACCEPT_MOST: Duration = Duration::from_millis(600);
 /// A proxy may be killed so long after the longest deadline after SIGTERM; it ends a little sooner.
 const END_BEFORE: Duration = Duration::from_millis(600);
+/// A deadline that is longer counts as this then.
+const DEADLINE_MOST: Duration = Duration::from_secs(3);
 
 impl Server {
     /// Answers what comes and asks clients away while idle connections end, and waits for the rest.
@@ -22,6 +24,11 @@
         tracing::info!("draining");
         self.drain.stop();
         let start = Instant::now();
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let longest = Duration::from_nanos(longest);
+        // Danger: a request that comes now on a connection that is still open may have a deadline beyond this process's
+        // own end; one that came before may keep it, since what is unanswered at the end is not held against it.
+        self.killed_at.set(Some(start + longest.min(DEADLINE_MOST) + END_BEFORE));
         let mut until = start + ACCEPT_FOR;
         if !handed {
             while let Ok(accepted) = timeout_at(until.min(start + ACCEPT_MOST), listener.accept()).await {
@@ -30,8 +37,7 @@
             }
         }
         drop(listener);
-        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let end = start + Duration::from_nanos(longest) + END_BEFORE;
+        let end = start + longest + END_BEFORE;
         while !self.clients.borrow().is_empty() {
             tokio::select! {
                 () = self.left.notified() => {}
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -86,6 +86,8 @@
 pub struct Tether {
     socket: RefCell<Option<Rc<Socket>>>,
     barred: Cell<bool>,
+    /// Nothing of it is written from then on.
+    until: Cell<Option<Instant>>,
     /// Barred, with nothing out whose outcome is to be waited for.
     idle: Notify,
 }
@@ -112,6 +114,17 @@
             socket.close();
         }
     }
+
+    fn only_within(&self, time: Duration) {
+        self.until.set(Some(Instant::now() + time));
+    }
+}
+
+impl Tether {
+    /// Whether it must not be written any more.
+    fn shut(&self) -> bool {
+        self.barred.get() || self.until.get().is_some_and(|until| Instant::now() >= until)
+    }
 }
 
 /// An open connection; dropping it closes it.
@@ -317,7 +330,7 @@
             }
             // Danger: while the connection came up the node may have been told to drain or have restarted, or
             // the request may have had its answer. Nothing may be written then.
-            if tether.barred.get() || self.open_to(server).is_none_or(|(_, now)| now != epoch) {
+            if tether.shut() || self.open_to(server).is_none_or(|(_, now)| now != epoch) {
                 return Status::Moot.into();
             }
             connection.socket.begin(ANSWER_MOST);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -19,7 +19,7 @@
 /// Reads settings from `path=value` pairs; unknown paths are passed over.
 pub fn settings<'a>(pairs: impl IntoIterator<Item = &'a str>) -> Result<Settings, String> {
     let mut s = Settings::default();
-    let mut origin = -1i64;
+    let (mut origin, mut retry_after) = (-1i64, true);
     for pair in pairs {
         let Some((path, v)) = pair.split_once('=') else {
             return Err(format!("setting has no value: {pair:?}"));
@@ -91,6 +91,7 @@
                 "caps.attempts_cap" => set(&mut s.max_attempts, path, v)?,
                 "caps.cancelling" => set(&mut s.cancel, path, v)?,
                 "caps.second_copies" => set(&mut s.second_copies, path, v)?,
+                "caps.retry_after" => set(&mut retry_after, path, v)?,
                 "caps.max_retry_after_ns" => set(&mut s.max_retry_after, path, v)?,
                 "caps.conn_idle_ns" => set(&mut s.conn_idle, path, v)?,
                 "deductions.handshake" => set(&mut s.handshake_price, path, v)?,
@@ -107,5 +108,8 @@
         }
     }
     s.origin_kind = u32::try_from(origin).ok();
+    if !retry_after {
+        s.max_retry_after = 0;
+    }
     Ok(s)
 }
