--- a/crates/lab/src/audit/mod.rs
+++ b/crates/lab/src/audit/mod.rs
@@ -18,6 +18,8 @@
 const WAITING_MOST: usize = 4096;
 /// Violations that are kept with their history; the rest are counted.
 const KEPT_MOST: usize = 20;
+/// More than one in so many requests of clients that have left, sent on late, fail a day.
+const SENT_LATE_PART: u64 = 4;
 /// What is kept of one request's history.
 const HISTORY_MOST: usize = 64;
 
@@ -41,6 +43,15 @@
     pub attempts: u64,
     /// Requests on a new connection that was closed before anything of them went on. No rule is broken by these.
     pub closed_at_the_door: u64,
+    /// Requests whose clients left before they had an answer.
+    #[serde(default)]
+    pub left: u64,
+    /// Those of them that were sent on later than 0.3 s after that. A day fails if they are more than a quarter.
+    #[serde(default)]
+    pub sent_for_nobody: u64,
+    /// The first of them.
+    #[serde(default)]
+    pub sent_late: Option<Violation>,
     /// Requests that went unanswered at a proxy that the fault rig killed or paused meanwhile. No rule is broken by these.
     #[serde(default)]
     pub struck: u64,
@@ -133,19 +144,25 @@
         self.verdict.attempts += history.iter().filter(reached).count() as u64;
         let found = self.judge.request(&history);
         self.verdict.closed_at_the_door += u64::from(found.closed_at_the_door);
+        self.verdict.left += u64::from(found.left.is_some());
+        if found.left == Some(true) {
+            self.verdict.sent_for_nobody += 1;
+            self.verdict.sent_late.get_or_insert_with(|| Violation {
+                rule: Rule::SentForNobody,
+                what: "sent on after its client had left".into(),
+                history: told(&history),
+            });
+        }
         self.verdict.struck += u64::from(found.struck);
         for (rule, what) in found.struck_twice {
             *self.verdict.struck_twice.entry(rule).or_default() += 1;
             if self.verdict.struck_violations.len() < KEPT_MOST {
-                let history =
-                    history.iter().map(|e| format!("{:9.3} s  {:?}", e.at as f64 / 1e9, e.seen)).collect();
+                let history = told(&history);
                 self.verdict.struck_violations.push(Violation { rule, what, history });
             }
         }
         for (rule, what) in found.broken {
-            let history =
-                history.iter().map(|e| format!("{:9.3} s  {:?}", e.at as f64 / 1e9, e.seen)).collect();
-            self.verdict.add(Violation { rule, what, history });
+            self.verdict.add(Violation { rule, what, history: told(&history) });
         }
     }
 
@@ -154,10 +171,19 @@
         while !self.queue.is_empty() {
             self.judge_next();
         }
+        if self.verdict.sent_for_nobody * SENT_LATE_PART > self.verdict.left {
+            let first = self.verdict.sent_late.clone();
+            first.into_iter().for_each(|violation| self.verdict.add(violation));
+        }
         self.verdict
     }
 }
 
+/// What was seen of a request, a line each.
+fn told(history: &[Evidence]) -> Vec<String> {
+    history.iter().map(|e| format!("{:9.3} s  {:?}", e.at as f64 / 1e9, e.seen)).collect()
+}
+
 /// Starts an auditor on a thread of its own; it ends, with its verdict, once every recorder is gone.
 pub fn start(day: &Day) -> (SyncSender<Vec<Evidence>>, JoinHandle<Verdict>) {
     let (out, evidence): (_, Receiver<Vec<Evidence>>) = sync_channel(WAITING_MOST);
--- a/crates/lab/src/audit/rules.rs
+++ b/crates/lab/src/audit/rules.rs
@@ -31,6 +31,8 @@
     ForeignAnswer,
     /// Every request at a node is one that a client sent.
     ForeignRequest,
+    /// What clients asked for that have left is not sent on later: a day fails if more than a quarter of it is.
+    SentForNobody,
     /// A proxy does not end by itself.
     Crash,
 }
@@ -41,6 +43,8 @@
 const TOLD_BY: Nanos = 6 * SECOND;
 /// All limits of time are so much longer on sockets.
 const SLACK: Nanos = 50 * MS;
+/// From so long after a client has left nothing is sent on for it.
+const LEFT_FOR: Nanos = 300 * MS;
 /// The ledger's stop breaks the rule if misses at cold nodes caused more than this part of its load.
 const COLD_PART: f64 = 0.3;
 
@@ -51,6 +55,8 @@
     pub broken: Vec<(Rule, String)>,
     /// It was turned away with its connection before anything of it went on.
     pub closed_at_the_door: bool,
+    /// Its client left before it had an answer; and whether it was sent on late after that.
+    pub left: Option<bool>,
     /// It went unanswered at a proxy that the rig killed or paused meanwhile; that breaks no rule.
     pub struck: bool,
     /// Rules on running twice that it broke after the rig struck its proxy, when its client asked again elsewhere.
@@ -63,6 +69,13 @@
     }
 }
 
+/// Whether a request was sent on later than it may be after its client had left without an answer; none: it stayed.
+fn sent_after_leaving(history: &[Evidence]) -> Option<bool> {
+    let left = history.iter().find(|e| matches!(e.seen, Seen::Left { .. }))?.at;
+    let late = |e: &Evidence| matches!(e.seen, Seen::Reached { .. }) && e.at > left + LEFT_FOR + SLACK;
+    Some(history.iter().any(late))
+}
+
 /// When a proxy was told what of a member; the times are of first mention, in order.
 #[derive(Default)]
 struct Told(Vec<(Nanos, Standing)>);
@@ -172,6 +185,7 @@
         self.bytes(history, &mut found);
         self.runs(history, &mut found);
         self.drains(proxy, history, &mut found);
+        found.left = sent_after_leaving(history);
         if self.struck_at(proxy, history) {
             let before = found.broken.len();
             found.broken.retain(|(rule, _)| !matches!(rule, Rule::Lost | Rule::Unanswered));
--- a/crates/lab/src/trial/report.rs
+++ b/crates/lab/src/trial/report.rs
@@ -175,6 +175,13 @@
             "\naudit: {} tries judged, {} attempts at members, {} closed at the door",
             a.requests, a.attempts, a.closed_at_the_door
         )?;
+        if a.left > 0 {
+            writeln!(
+                t,
+                "{} clients left while they waited, {} requests sent on late",
+                a.left, a.sent_for_nobody
+            )?;
+        }
         if a.clean() {
             writeln!(t, "no rule broken")?;
         }
--- a/crates/lab/tests/audit.rs
+++ b/crates/lab/tests/audit.rs
@@ -116,6 +116,21 @@
     caught(Fault::RepeatsKeyed, Rule::KeyedTwice);
 }
 
+#[test]
+fn what_is_sent_on_after_its_client_has_left_is_caught() {
+    let day = day(|text| text.replace("[load]", "[load]\nrude = { leave_waiting = 0.3 }"));
+    let report = play(&day, Fault::SendsLate);
+    assert_eq!(broken(&report), [Rule::SentForNobody], "{}", report.text());
+    assert!(
+        report.audit.sent_for_nobody * 4 > report.audit.left && report.audit.left > 20,
+        "{}",
+        report.text()
+    );
+    let prompt = play(&day, Fault::None);
+    assert_eq!((broken(&prompt), prompt.audit.sent_for_nobody), (vec![], 0), "{}", prompt.text());
+    assert!(prompt.audit.left > 20, "{}", prompt.text());
+}
+
 #[test]
 fn a_changed_answer_is_caught() {
     caught(Fault::Changes, Rule::ForeignAnswer);
--- a/crates/lab/tests/broken/proxy.rs
+++ b/crates/lab/tests/broken/proxy.rs
@@ -39,6 +39,8 @@
     Changes,
     /// Nodes are sent what nobody asked for.
     Invents,
+    /// Requests wait, and are sent on whether their clients wait or not.
+    SendsLate,
     /// The process ends by itself.
     Ends,
 }
@@ -47,6 +49,8 @@
 const EVERY: u64 = 20;
 /// Marks are forgotten after less than this in the tests' days.
 const AFTER_MARK: Duration = Duration::from_millis(700);
+/// Nothing may be sent on so long after a client has left.
+const AFTER_LEAVING: Duration = Duration::from_millis(450);
 /// Fetches for one miss, where the ledger is herded to.
 const FETCHES: usize = 8;
 
@@ -140,6 +144,9 @@
     }
 
     async fn carry(self: &Rc<Self>, asked: &Asked, body: &[u8], bad: bool) -> (u16, Vec<u8>) {
+        if self.fault == Fault::SendsLate {
+            sleep(AFTER_LEAVING).await;
+        }
         let id = asked.id.clone().unwrap_or_default();
         let key = asked.path.rsplit('/').next().unwrap_or("");
         if asked.method == "PUT" {
--- a/crates/proxy/tests/endings.rs
+++ b/crates/proxy/tests/endings.rs
@@ -5,7 +5,7 @@
 use rig::*;
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
-use std::io::Read;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -47,6 +47,43 @@
     assert!(stopped.elapsed() < KILLED_AFTER, "{:?}", stopped.elapsed());
 }
 
+/// Danger: a signal that comes again must not end a process that still owes answers.
+#[test]
+fn a_process_that_is_told_twice_to_stop_still_answers_what_it_has_taken() {
+    let mut r = rig();
+    let mut client = r.proxy.client();
+    client.ask("order", "");
+    let mut node = r.cache.take();
+    node.request();
+    r.proxy.signal("-TERM");
+    r.proxy.logged("draining");
+    r.proxy.signal("-TERM");
+    // It rereads its settings meanwhile as well.
+    r.proxy.signal("-HUP");
+    assert_eq!(r.proxy.health(), 503);
+    node.reply("200 OK", "X-Lookup: hit\r\n", "value");
+    assert_eq!(client.answer().body, b"value");
+    assert_eq!(client.read(), None);
+    until("it has ended", || r.proxy.child.try_wait().expect("a state").is_some_and(|s| s.success()));
+}
+
+/// Danger: a close with bytes unread resets the connection, and the answer may go with it.
+#[test]
+fn bad_input_with_much_behind_it_gets_an_answer_that_its_client_can_read() {
+    let r = rig();
+    for _ in 0..20 {
+        let mut client = r.proxy.client();
+        let stream = client.0.get_mut();
+        let head =
+            "PUT /nothing/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: bad\r\nContent-Length: 4000000\r\n\r\n";
+        stream.write_all(head.as_bytes()).expect("written");
+        // The answer may come while this is being sent, and the close with it.
+        let body = vec![b'x'; 4_000_000];
+        let _ = stream.write_all(&body);
+        assert_eq!(client.answer().status(), 404);
+    }
+}
+
 /// Danger: a repeat that waits for its connection is written when the nodes no longer know it for one, and runs twice.
 #[test]
 fn a_repeat_is_not_written_once_nodes_no_longer_know_it_for_one() {
--- a/crates/proxy/tests/watches.rs
+++ b/crates/proxy/tests/watches.rs
@@ -23,11 +23,11 @@
 
 /// Danger: what a silent watch would have told counts as told 6 s later; a call that comes after that is too late, and one
 /// that comes just before may still wait for its turn.
-#[test]
-fn a_silent_watch_is_replaced_before_its_news_counts_as_told() {
+fn silent_after(said: &str) {
     let r = rig();
     let mut silent = r.discovery.take();
     let (began, asked) = (Instant::now(), hold(&silent.request().line));
+    silent.write(said);
     let mut next = r.discovery.take();
     let took = began.elapsed();
     assert!(took > asked, "it was not given the time that it was asked to wait: {took:?} of {asked:?}");
@@ -42,6 +42,48 @@
     assert!(r.cache.none_came());
 }
 
+#[test]
+fn a_silent_watch_is_replaced_before_its_news_counts_as_told() {
+    silent_after("");
+}
+
+#[test]
+fn so_is_one_that_falls_silent_after_the_head_of_its_answer() {
+    silent_after("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n");
+}
+
+#[test]
+fn so_is_one_that_falls_silent_in_the_midst_of_a_list() {
+    silent_after(
+        "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"version\":42,\"full\":false,\"servers\":[{\"id\":",
+    );
+}
+
+/// Danger: of what one answer says of a node the last word counts: it drains, is gone, and is back as a new process.
+#[test]
+fn a_node_that_is_gone_and_back_within_one_answer_is_used_on_new_connections() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "");
+    client.answer();
+    let mut watch = r.discovery.take();
+    watch.request();
+    let mut back = member("c1", r.cache.addr, "std", "ready");
+    back["started_ms"] = json!(1_700_000_000_000u64);
+    let states = ["draining", "gone"].map(|state| member("c1", r.cache.addr, "std", state));
+    let [draining, gone] = states;
+    watch.reply("200 OK", "", &list(42, false, &[draining, gone, back]).to_string());
+    assert_eq!(node.read(), None, "the old process's connection is kept");
+    client.ask("read", "");
+    let mut node = r.cache.take();
+    node.request();
+    node.reply("200 OK", "X-Lookup: hit\r\n", "back");
+    assert_eq!(client.answer().body, b"back");
+}
+
 /// Danger: to ask a service that is slow for all again and again would keep it slow.
 #[test]
 fn a_list_service_that_is_slow_gets_more_time_and_is_not_asked_twice() {
