Name polls, slots and permits by the field's own words

A newcomer to crates/pace met "Asks", "Moments" and "leave to open", which hide standard concepts: polling, time slots of a shared cycle, and permits of a rate limit.

The lab's tests were not run for this.

--- a/crates/config/src/model/start.rs
+++ b/crates/config/src/model/start.rs
@@ -5,7 +5,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-/// How this proxy asks the list service: at its own moments of a cycle that all proxies share, so that together they
+/// How this proxy asks the list service: in its own slots of a cycle that all proxies share, so that together they
 /// never ask more than once each in a cycle.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
@@ -51,7 +51,7 @@
     }
 }
 
-/// Connections that all proxies together open to one machine. Each proxy opens its part, at its own moments.
+/// Connections that all proxies together open to one machine. Each proxy opens its part, in its own slots.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields, default)]
 pub struct Opening {
--- a/crates/lab/src/cli/sim.rs
+++ b/crates/lab/src/cli/sim.rs
@@ -32,7 +32,7 @@
     /// Play the list service as well and count calls there.
     #[arg(long)]
     list: bool,
-    /// Proxies ask it at their own moments, as `[list]` in the operator's file has them do.
+    /// Proxies ask it in their own slots, as `[list]` in the operator's file has them do.
     #[arg(long, requires = "list")]
     paced: bool,
     /// Calls a second that it answers; past that it refuses.
--- a/crates/lab/src/sim/host.rs
+++ b/crates/lab/src/sim/host.rs
@@ -93,7 +93,7 @@
         self.balancer.handle(now, event, &mut self.actions);
     }
 
-    /// Leave to open connections follows the list.
+    /// Permits to open connections follow the list.
     fn meet(&mut self, now: Nanos, kind: ListKind, entries: &[Entry]) {
         let Some((opens, (node, ledger))) = &mut self.opens else { return };
         if matches!(kind, ListKind::Full | ListKind::Cached) {
--- a/crates/lab/src/sim/lists.rs
+++ b/crates/lab/src/sim/lists.rs
@@ -3,13 +3,13 @@
 
 use super::*;
 use aniseyoke_decision::api::{Event, ListKind};
-use aniseyoke_pace::asks::Rules;
-use aniseyoke_pace::{Asks, Place};
+use aniseyoke_pace::polls::Rules;
+use aniseyoke_pace::{Place, Polls};
 
 /// The list service, and how it is asked.
 #[derive(Clone, Debug, Default)]
 pub struct Service {
-    /// Proxies ask at their own moments.
+    /// Proxies ask in their own slots.
     pub paced: bool,
     /// Calls a second that it answers; past that it refuses.
     pub takes: Option<u64>,
@@ -29,8 +29,8 @@
 /// One proxy's side of it.
 #[derive(Default)]
 pub struct Caller {
-    asks: Option<Asks>,
-    /// A call is out, or waits for its moment.
+    polls: Option<Polls>,
+    /// A call is out, or waits for its slot.
     busy: bool,
     /// A watch is held; its number.
     watch: Option<u32>,
@@ -47,8 +47,8 @@
             answer: ANSWER.0,
             answer_most: ANSWER.1,
         };
-        let asks = service.filter(|s| s.paced).map(|_| Asks::new(rules, place, 0, 0));
-        Caller { asks, ..Caller::default() }
+        let polls = service.filter(|s| s.paced).map(|_| Polls::new(rules, place, 0, 0));
+        Caller { polls, ..Caller::default() }
     }
 }
 
@@ -59,7 +59,7 @@
         if anew && std::mem::replace(&mut caller.busy, true) {
             return;
         }
-        let at = caller.asks.as_ref().map_or(now, |asks| asks.due(now));
+        let at = caller.polls.as_ref().map_or(now, |polls| polls.due(now));
         self.queue.push(at, Happening::Ask(proxy));
     }
 
@@ -75,7 +75,7 @@
         asks[second] += 1;
         let over = service.takes.is_some_and(|most| asks[second] > most);
         let host = &mut self.hosts[proxy as usize];
-        host.caller.asks.iter_mut().for_each(|a| a.asked(now));
+        host.caller.polls.iter_mut().for_each(|p| p.polled(now));
         let way = self.way();
         if now < nanos(service.down) {
             return self.later(way, Happening::Unlisted(proxy, false));
@@ -90,7 +90,7 @@
         }
         let must = nanos(self.day.site.roster.must_ask_in) / 2;
         let caller = &mut host.caller;
-        let hold = caller.asks.as_ref().map_or(must.clamp(HOLD.0, HOLD.1), |asks| asks.hold(now));
+        let hold = caller.polls.as_ref().map_or(must.clamp(HOLD.0, HOLD.1), |polls| polls.hold(now));
         caller.watches += 1;
         caller.watch = Some(caller.watches);
         let number = caller.watches;
@@ -126,7 +126,7 @@
     pub(super) fn told_list(&mut self, proxy: u32) {
         self.list(proxy);
         if self.options.list.is_some() {
-            self.hosts[proxy as usize].caller.asks.iter_mut().for_each(Asks::answered);
+            self.hosts[proxy as usize].caller.polls.iter_mut().for_each(Polls::answered);
             self.ask_list(proxy, false);
         }
     }
@@ -137,10 +137,10 @@
         let after = self.options.list.as_ref().map(|s| nanos(s.retry_after)).filter(|_| refused);
         let caller = &mut self.hosts[proxy as usize].caller;
         caller.busy = false;
-        if let Some(asks) = &mut caller.asks {
+        if let Some(polls) = &mut caller.polls {
             match refused {
-                true => asks.refused(now, after),
-                false => asks.failed(now),
+                true => polls.refused(now, after),
+                false => polls.failed(now),
             }
         }
         self.feed(proxy, Event::List { kind: ListKind::Failed, entries: Vec::new() });
--- a/crates/lab/src/sim/mod.rs
+++ b/crates/lab/src/sim/mod.rs
@@ -118,7 +118,7 @@
     Held(u32, u32),
     /// A proxy's call has failed, or was refused.
     Unlisted(u32, bool),
-    /// A proxy asks for leave to open a connection for an attempt.
+    /// A proxy asks for a permit to open a connection for an attempt.
     Open(Ticket),
 }
 
@@ -145,8 +145,8 @@
     /// Nothing comes back over its connection any more.
     dead: bool,
     ledger: bool,
-    /// It waits for leave to open its connection until then at most; none: it waits for none.
-    leave_by: Option<Nanos>,
+    /// It waits for a permit to open its connection until then at most; none: it waits for none.
+    permit_by: Option<Nanos>,
 }
 
 /// A day in simulated time.
--- a/crates/lab/src/sim/run.rs
+++ b/crates/lab/src/sim/run.rs
@@ -247,7 +247,7 @@
                 reached: false,
                 dead: false,
                 ledger,
-                leave_by: None,
+                permit_by: None,
             },
         );
         if pending_answered(host, id) || left == 0 {
@@ -262,8 +262,8 @@
         let wait = if timeout == 0 { left } else { timeout.min(left) };
         self.later(wait, Happening::Over(ticket));
         if kept.is_none() {
-            // As the proxy does: no longer than half of the attempt's time is spent on waiting for leave.
-            self.out.get_mut(&ticket).into_iter().for_each(|o| o.leave_by = Some(now + wait / 2));
+            // As the proxy does: no longer than half of the attempt's time is spent on waiting for a permit.
+            self.out.get_mut(&ticket).into_iter().for_each(|o| o.permit_by = Some(now + wait / 2));
             return self.open_for(ticket);
         }
         let way = self.way();
@@ -274,7 +274,7 @@
     pub(super) fn open_for(&mut self, ticket: Ticket) {
         let now = self.now;
         let Some(out) = self.out.get(&ticket) else { return };
-        let (proxy, member, ledger, by) = (out.proxy, out.member, out.ledger, out.leave_by.unwrap_or(now));
+        let (proxy, member, ledger, by) = (out.proxy, out.member, out.ledger, out.permit_by.unwrap_or(now));
         let server = self.server(member);
         if let Some((opens, _)) = &mut self.hosts[proxy as usize].opens {
             if let Err(wait) = opens.take(EPOCH + now, server) {
--- a/crates/lab/src/sim/tests.rs
+++ b/crates/lab/src/sim/tests.rs
@@ -156,14 +156,14 @@
 }
 
 #[test]
-fn proxies_that_ask_at_their_moments_spare_the_list_service_and_the_nodes() {
+fn proxies_that_ask_in_their_slots_spare_the_list_service_and_the_nodes() {
     let (proxies, warm) = (120, Duration::from_secs(1));
     let list = |paced| Some(Service { paced, ..Service::default() });
     let most = |counts: &[u64]| counts.iter().copied().max().unwrap_or(0);
     let free = restarted(proxies, 20, Options { warm, list: list(false), ..Options::default() });
     let opening = Some((40.0, 200.0));
     let paced = restarted(proxies, 20, Options { warm, list: list(true), opening, ..Options::default() });
-    // One in a cycle of 2.5 s each; a second's edge may fall between two proxies' moments.
+    // One in a cycle of 2.5 s each; a second's edge may fall between two proxies' slots.
     let bound = (proxies as f64 / 2.5).ceil() as u64 + 1;
     assert!(most(&paced.list_asks) <= bound, "{bound} a second: {:?}", paced.list_asks);
     assert!(most(&free.list_asks) > 10 * bound, "{:?}", free.list_asks);
--- a/crates/lab/tests/cold.rs
+++ b/crates/lab/tests/cold.rs
@@ -71,7 +71,7 @@
     let table = play::table(&outcome);
     assert!(outcome.clean(), "{table}");
     assert!(outcome.all.goodput > 0.8, "{table}");
-    // In any cycle each proxy asks once at most; a second's edge may fall between two proxies' moments.
+    // In any cycle each proxy asks once at most; a second's edge may fall between two proxies' slots.
     let most = (PROXIES as f64 / CYCLE_S).ceil() as u64 + 1;
     assert!(
         outcome.list_asks.iter().all(|asks| *asks <= most),
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Follows the list of cache nodes: a watch at discovery, renewed at once after each answer, or at this proxy's own moments
+//! Follows the list of cache nodes: a watch at discovery, renewed at once after each answer, or in this proxy's own slots
 //! where the operator's file says so (`paced`).
 
 mod kept;
@@ -149,7 +149,7 @@
                     }
                     () = tokio::time::sleep(wait) => {}
                 }
-                self.paced.iter_mut().for_each(Paced::asked);
+                self.paced.iter_mut().for_each(Paced::polled);
             }
             // Danger: a standing watch at the old address says nothing for many seconds, and then that it is gone.
             let called = tokio::select! {
--- a/crates/proxy/src/discovery/paced.rs
+++ b/crates/proxy/src/discovery/paced.rs
@@ -5,8 +5,8 @@
 use crate::config::Members;
 use crate::wall::unix;
 use aniseyoke_config::model::List;
-use aniseyoke_pace::asks::Rules;
-use aniseyoke_pace::{Asks, Nanos, Place};
+use aniseyoke_pace::polls::Rules;
+use aniseyoke_pace::{Nanos, Place, Polls};
 use serde_json::json;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -72,7 +72,7 @@
 
 /// When calls go out, what is kept of their answers, and what is told of both.
 pub struct Paced {
-    asks: Asks,
+    polls: Polls,
     began: Instant,
     held: Rc<Held>,
     keeper: Option<Keeper>,
@@ -94,8 +94,8 @@
             answer: nanos(ANSWER),
             answer_most: nanos(rules.answer_most),
         };
-        let asks = Asks::new(rules, place, nanos(unix()), 0);
-        Paced { asks, began: Instant::now(), held, keeper }
+        let polls = Polls::new(rules, place, nanos(unix()), 0);
+        Paced { polls, began: Instant::now(), held, keeper }
     }
 
     fn now(&self) -> Nanos {
@@ -105,26 +105,26 @@
     /// How long until the next call may go out.
     pub fn wait(&self) -> Duration {
         let now = self.now();
-        Duration::from_nanos(self.asks.due(now) - now)
+        Duration::from_nanos(self.polls.due(now) - now)
     }
 
     pub fn hold(&self) -> Duration {
-        Duration::from_nanos(self.asks.hold(self.now()))
+        Duration::from_nanos(self.polls.hold(self.now()))
     }
 
     pub fn answer_within(&self) -> Duration {
-        Duration::from_nanos(self.asks.answer_within())
+        Duration::from_nanos(self.polls.answer_within())
     }
 
     /// A call goes out.
-    pub fn asked(&mut self) {
-        self.asks.asked(self.now());
+    pub fn polled(&mut self) {
+        self.polls.polled(self.now());
         self.held.calls.set(self.held.calls.get() + 1);
     }
 
     /// The service has told the list, or that nothing of it changed.
     pub fn answered(&mut self, members: &Members) {
-        self.asks.answered();
+        self.polls.answered();
         if self.held.source.replace(Source::Service) != Source::Service {
             tracing::info!("the list service tells version {}", members.version);
         }
@@ -139,21 +139,21 @@
         match fault {
             Fault::Refused(_, after) => {
                 count(&self.held.refused);
-                self.asks.refused(now, after.map(nanos));
+                self.polls.refused(now, after.map(nanos));
             }
             Fault::Late => {
                 count(&self.held.failed);
-                self.asks.late(now);
+                self.polls.late(now);
             }
             Fault::Broken(_) => {
                 count(&self.held.failed);
-                self.asks.failed(now);
+                self.polls.failed(now);
             }
         }
     }
 
     /// The service is at another address.
     pub fn moved(&mut self) {
-        self.asks.moved(self.now());
+        self.polls.moved(self.now());
     }
 }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -75,7 +75,7 @@
     pub paced: Option<Paced>,
     /// What is told of the list then.
     pub held: Option<Rc<Held>>,
-    /// Leave to open connections, where that is limited.
+    /// Permits to open connections, where that is limited.
     pub opening: Option<Opening>,
     /// Memory that is no connection's beside what every proxy keeps, in bytes.
     pub reserve: usize,
--- a/crates/proxy/src/opening.rs
+++ b/crates/proxy/src/opening.rs
@@ -1,4 +1,4 @@
-//! Leave to open connections, where the operator's file limits what all proxies together open to one machine.
+//! Permits to open connections, where the operator's file limits what all proxies together open to one machine.
 
 use crate::discovery::nanos;
 use crate::wall::unix;
@@ -52,7 +52,7 @@
         }
     }
 
-    /// Takes leave to open a connection; or how long to wait for the next.
+    /// Takes a permit to open a connection; or how long to wait for the next.
     pub fn take(&mut self, server: ServerId) -> Result<(), Duration> {
         self.opens.take(self.now(), server).map_err(Duration::from_nanos)
     }
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -37,8 +37,8 @@
 const LOOK_EVERY: Duration = Duration::from_secs(1);
 /// An answer of unknown length that is not whole so long after its head is passed on as it comes.
 const HOLD: Duration = Duration::from_millis(20);
-/// Who waits for leave to open a connection looks this often for one that has become idle.
-const LEAVE_LOOK: Duration = Duration::from_millis(20);
+/// Who waits for a permit to open a connection looks this often for one that has become idle.
+const PERMIT_LOOK: Duration = Duration::from_millis(20);
 const LOOKUP: HeaderName = HeaderName::from_static("x-lookup");
 const LOAD: HeaderName = HeaderName::from_static("x-backend-load");
 
@@ -174,7 +174,7 @@
     connect_timeout: Duration,
     idle_most: Duration,
     epochs: Cell<u64>,
-    /// Leave to open connections, where that is limited.
+    /// Permits to open connections, where that is limited.
     opening: Option<RefCell<Opening>>,
 }
 
@@ -310,9 +310,9 @@
     ) -> Ended {
         let due = Instant::now() + wait;
         loop {
-            // Danger: a wait for leave must come before the body is taken up: what an attempt has read of an upload is
+            // Danger: a wait for a permit must come before the body is taken up: what an attempt has read of an upload is
             // gone with it.
-            let Some(idle) = self.leave(server, due, wait).await else { return Status::Moot.into() };
+            let Some(idle) = self.permit(server, due, wait).await else { return Status::Moot.into() };
             let Some(body) = job.body.send() else { return Status::Moot.into() };
             let Some((addr, epoch)) = self.open_to(server) else { return Status::Moot.into() };
             let (mut connection, reused) = match idle.or_else(|| self.newest(server)) {
@@ -424,10 +424,10 @@
         Read::Whole(Ended { status, hit, load, answer })
     }
 
-    /// Waits for leave to open a connection, or for one that has become idle meanwhile, which is returned. None if
+    /// Waits for a permit to open a connection, or for one that has become idle meanwhile, which is returned. None if
     /// more than half of the attempt's time would go by: another node may have room sooner. Danger: to call that a
     /// failed connection would blame the node.
-    async fn leave(&self, server: ServerId, due: Instant, wait: Duration) -> Option<Option<Connection>> {
+    async fn permit(&self, server: ServerId, due: Instant, wait: Duration) -> Option<Option<Connection>> {
         let Some(opening) = &self.opening else { return Some(None) };
         let until = due - wait / 2;
         loop {
@@ -438,7 +438,7 @@
             if Instant::now() + later > until || self.open_to(server).is_none() {
                 return None;
             }
-            sleep(later.min(LEAVE_LOOK)).await;
+            sleep(later.min(PERMIT_LOOK)).await;
         }
     }
 
