Name the frames of purges: progress, purged, purges, flush and the operators' calls

Purges are to reach a whole fleet through regions and sites, and both ends need the same words first. Keys travel as one base64 text of eight bytes each. The new crate aniseyoke-fanout holds what has no I/O and no clock.

--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -3,6 +3,7 @@
 use crate::publisher::Row;
 use crate::rollout::Plan;
 use crate::version::{Body, Stamp};
+use aniseyoke_fanout::{Keys, Progress};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
@@ -13,6 +14,12 @@
 pub const FRAME_MOST: usize = 16 << 20;
 /// The bytes that hold a frame's length, the highest first.
 pub const HEAD: usize = 4;
+/// Names of those that lack purges, in one message; more do not count.
+pub const NAMES_MOST: usize = 16;
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
 
 /// From a proxy.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -32,6 +39,22 @@
         frame_most: usize,
         /// The stamp and the digest of what it runs, if a service ever told it.
         running: Option<(Stamp, String)>,
+        /// Where it stands in the log of purges; none: it takes no purges.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        purges: Option<Progress>,
+    },
+    /// Everything in the log of purges through a number is done by all that is below the sender, but some.
+    Purged {
+        /// The log's epoch.
+        epoch: u64,
+        /// Through which number.
+        through: u64,
+        /// How many lack something of it.
+        #[serde(default, skip_serializing_if = "is_zero")]
+        lacking: u64,
+        /// Some of them, as `name@number`: each with what it stands at. At most [`NAMES_MOST`] count.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        names: Vec<String>,
     },
     /// A version is in force.
     Taken {
@@ -91,6 +114,24 @@
         /// Which version that is.
         stamp: Stamp,
     },
+    /// Entries of the log of purges. With no keys it says that nothing newer than `after` is known where it comes from,
+    /// at the time it is sent, all the way up to the root.
+    Purges {
+        /// The log's epoch.
+        epoch: u64,
+        /// The number of the entry before the first of these.
+        after: u64,
+        /// The keys of the entries `after + 1` and on.
+        keys: Keys,
+    },
+    /// What the receiver lacks of the log of purges is no longer kept: everything that it held before is to be dropped;
+    /// then it stands at `through`.
+    Flush {
+        /// The log's epoch.
+        epoch: u64,
+        /// Where the receiver stands then.
+        through: u64,
+    },
     /// It is still there.
     Alive,
     /// It will not serve this proxy, and why.
@@ -127,6 +168,18 @@
     },
     /// Tell who runs what.
     Status,
+    /// Have objects dropped everywhere.
+    Purge {
+        /// Who wants it: a name that stays the same over its restarts.
+        publisher: String,
+        /// The publisher's own number of this call, rising. A call that is made again under the same number gets the
+        /// same answer, and nothing is numbered a second time.
+        sequence: u64,
+        /// The objects' keys.
+        keys: Vec<String>,
+    },
+    /// Tell how far purges have come.
+    Purges,
 }
 
 /// A service's answer to an operator.
@@ -152,6 +205,42 @@
         /// All proxies that are connected.
         proxies: Vec<Row>,
     },
+    /// The purges are numbered, kept, and on their way.
+    Purging {
+        /// The log's epoch.
+        epoch: u64,
+        /// The number of the last of them.
+        through: u64,
+    },
+    /// How far purges have come.
+    Purges {
+        /// The log's epoch.
+        epoch: u64,
+        /// The newest number.
+        newest: u64,
+        /// Everybody below has done everything through this number, but those that lack something.
+        done: u64,
+        /// Those that lack something of it, as `name@number`: each with what it stands at.
+        lacking: Vec<String>,
+        /// How many lack something beside those named.
+        unnamed: u64,
+        /// How long purges took from their numbering to being known as done everywhere.
+        took: Took,
+    },
+}
+
+/// How long the last purges took, in milliseconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Took {
+    /// How many are counted.
+    pub count: u64,
+    /// Half of them took no longer.
+    pub p50: f64,
+    /// 99 in a hundred took no longer.
+    pub p99: f64,
+    /// The one that took longest.
+    pub most: f64,
 }
 
 /// The version of this protocol.
@@ -207,50 +296,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-    use serde_json::json;
-
-    fn some() -> Vec<FromService> {
-        let stamp = Stamp { epoch: 1, number: 2 };
-        let patch = json_patch::diff(&json!({"a": 1}), &json!({"b": 1}));
-        vec![
-            FromService::Full { stamp, digest: "d".into(), body: Body::new(&json!({"a": 1})) },
-            FromService::Delta { base: stamp, stamp, digest: "e".into(), patch },
-            FromService::Current { stamp },
-            FromService::Alive,
-            FromService::Goodbye { why: "full".into() },
-        ]
-    }
-
-    #[test]
-    fn messages_are_read_however_their_bytes_are_cut() {
-        let all: Vec<u8> = some().iter().flat_map(|m| encode(m).expect("short")).collect();
-        for size in [1, 3, 7, all.len()] {
-            let (mut came, mut read) = (Vec::new(), Vec::new());
-            for part in all.chunks(size) {
-                came.extend_from_slice(part);
-                while let Some(message) = decode::<FromService>(&mut came, FRAME_MOST).expect("sound") {
-                    read.push(message);
-                }
-            }
-            assert_eq!((read, came.len()), (some(), 0));
-        }
-    }
-
-    #[test]
-    fn a_length_beyond_the_bound_is_turned_down_before_anything_is_kept_for_it() {
-        let mut came = u32::MAX.to_be_bytes().to_vec();
-        assert_eq!(decode::<FromService>(&mut came, 100), Err(Malformed::TooLong(u32::MAX as usize)));
-        let mut came = 101u32.to_be_bytes().to_vec();
-        assert_eq!(decode::<FromService>(&mut came, 100), Err(Malformed::TooLong(101)));
-    }
-
-    proptest! {
-        #[test]
-        fn no_bytes_are_a_panic(mut came in prop::collection::vec(any::<u8>(), 0..200)) {
-            while let Ok(Some(_)) = decode::<FromProxy>(&mut came, 1000) {}
-        }
-    }
-}
+mod tests;
--- a/crates/control/src/measure.rs
+++ b/crates/control/src/measure.rs
@@ -51,6 +51,7 @@
         labels: BTreeMap::new(),
         frame_most: FRAME_MOST,
         running: None,
+        purges: None,
     };
     stream.write_all(&send(hello)?).await?;
     let (mut number, mut part) = (0, vec![0; 16 << 10]);
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -211,7 +211,7 @@
 
     /// A proxy has connected and said who it is, or anything else. What is to be sent is appended to `out`.
     pub fn frame(&mut self, now: Nanos, id: Id, frame: FromProxy, out: &mut Vec<Outgoing>) {
-        if let FromProxy::Hello { protocol, instance, boot, labels, frame_most, running } = frame {
+        if let FromProxy::Hello { protocol, instance, boot, labels, frame_most, running, purges: _ } = frame {
             let (sent, refused, heard, said) = (None, None, now, now);
             let took = None;
             let s =
@@ -223,7 +223,7 @@
         };
         s.heard = now;
         match frame {
-            FromProxy::Hello { .. } | FromProxy::Alive => {}
+            FromProxy::Hello { .. } | FromProxy::Purged { .. } | FromProxy::Alive => {}
             FromProxy::Taken { stamp } => {
                 s.sent = s.sent.filter(|sent| *sent != stamp);
                 let held = self.history.iter().find(|h| h.version.stamp == stamp);
--- a/crates/control/src/publisher/tests.rs
+++ b/crates/control/src/publisher/tests.rs
@@ -217,6 +217,7 @@
         labels: BTreeMap::new(),
         frame_most: FRAME_MOST,
         running: None,
+        purges: None,
     };
     publisher.frame(0, 2, hello(9, "a"), &mut out);
     publisher.frame(0, 3, hello(PROTOCOL, ""), &mut out);
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -196,6 +196,9 @@
                 self.status()
             }
             FromOperator::Status => self.status(),
+            FromOperator::Purge { .. } | FromOperator::Purges => {
+                ToOperator::No { why: "this service takes no purges".into() }
+            }
         }
     }
 
--- /dev/null
+++ b/crates/fanout/src/keys/tests.rs
@@ -0,0 +1,28 @@
+use super::*;
+use proptest::prelude::*;
+
+#[test]
+fn a_key_is_its_eight_bytes_the_highest_first() {
+    let text = serde_json::to_string(&Keys(vec![1, 0xffee_ddcc_bbaa_9988])).expect("JSON");
+    assert_eq!(
+        text,
+        format!("\"{}\"", STANDARD.encode(b"\0\0\0\0\0\0\0\x01\xff\xee\xdd\xcc\xbb\xaa\x99\x88"))
+    );
+}
+
+#[test]
+fn what_is_no_text_of_keys_is_told_by_name() {
+    for (text, why) in [("\"AAAA\"", "no multiple of 8"), ("\"*\"", "keys: "), ("7", "string")] {
+        let error = serde_json::from_str::<Keys>(text).expect_err("turned down").to_string();
+        assert!(error.contains(why), "{text}: {error}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn keys_are_read_as_they_were_written(keys in prop::collection::vec(any::<u64>(), 0..50)) {
+        let keys = Keys(keys);
+        let text = serde_json::to_string(&keys).expect("JSON");
+        prop_assert_eq!(serde_json::from_str::<Keys>(&text).expect("read"), keys);
+    }
+}
--- a/crates/lab/tests/versions.rs
+++ b/crates/lab/tests/versions.rs
@@ -104,6 +104,7 @@
         labels: Default::default(),
         frame_most: 1 << 16,
         running: None,
+        purges: None,
     };
     publisher.frame(0, 1, hello, &mut out);
     let version = Version::new(Stamp { epoch: 1, number: 1 }, &json!({}));
