Ask whether a client is still there at the moment an attempt is to be written

Until now only a task beside the request watched its client. A process that had been busy did what it found in any order: a node's answer or a timer came first, and its attempt went out for a client that had closed its connection. On HTTP/1.0 a client that ended its sending, waited 0.83 s and left was not noticed at all: the bytes that may go ahead had been used up.

Now each attempt asks the kernel before it is written, and once more when a connection had to come up: nothing unread and no end means that the client is there, which is the case nearly always and costs one peek. Else the runtime looks at its sockets first, the client is asked, and what comes of that waited for 20 ms at most. On HTTP/1.0 nine bytes may go ahead, of which four are kept for these moments. Who has ended its sending is asked every 40 ms and not every 100 ms.

A client that ends its sending and leaves now reads what has come first: a close over unread bytes is a reset, so that the test did not force what it told of. The tests of touched files live in files of their own.

--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -3,7 +3,7 @@
 use super::request::CORRELATION_ID;
 use super::Server;
 use crate::relay::Outgoing;
-use crate::socket::{Socket, Word};
+use crate::socket::{Presence, Socket, Waiter, Word};
 use crate::upstream::Reply;
 use aniseyoke_core::Answer;
 use hyper::body::{Bytes, Incoming};
@@ -51,7 +51,7 @@
             return plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
         let word = if request.version() == Version::HTTP_11 { Word::Interim } else { Word::Begin };
-        let asked = match self.asked(request).await {
+        let mut asked = match self.asked(request).await {
             Ok(asked) => asked,
             Err((status, why)) => {
                 let mut response = bad(status, why);
@@ -72,9 +72,10 @@
         // Danger: of a client that ended its sending before its request was read nobody knows for how long it has been
         // gone; what is sent for it now may be sent for nobody.
         let most = Duration::from_nanos(asked.request.remaining / ASK_PART).min(ASK_MOST);
-        if socket.has_gone(word, most).await {
+        if socket.presence(word, most).await == Presence::Gone {
             return gone();
         }
+        asked.job.waiter = Some(Waiter::new(socket, word, most));
         let mut ticket = self.engine.arrive(asked);
         let mut response = tokio::select! {
             biased;
@@ -156,15 +157,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn advice_to_wait_reaches_the_client_as_seconds() {
-        for (wait, advice) in [(1500, Some("1.500")), (0, None)] {
-            let answer = respond_with(Answer::Refused(Duration::from_millis(wait)), false);
-            let told = answer.headers().get(header::RETRY_AFTER).and_then(|v| v.to_str().ok());
-            assert_eq!((answer.status(), told), (StatusCode::SERVICE_UNAVAILABLE, advice));
-        }
-    }
-}
+mod tests;
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -79,7 +79,7 @@
         strip(&mut headers);
         // The body is passed on with the length that it has.
         headers.remove(header::CONTENT_LENGTH);
-        Ok(Asked { request, job: Job { method: head.method, uri, headers, body } })
+        Ok(Asked { request, job: Job { method: head.method, uri, headers, body, waiter: None } })
     }
 }
 
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -7,12 +7,13 @@
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::pin::Pin;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
 /// The descriptors that sockets may still take.
@@ -67,11 +68,15 @@
 }
 
 /// Who may have gone is asked so often.
-const ASK_EVERY: Duration = Duration::from_millis(100);
+const ASK_EVERY: Duration = Duration::from_millis(40);
+/// Who is asked by the answer's first bytes is asked so long after the first time, and then after twice as long each.
+const ASK_OLD: Duration = Duration::from_millis(100);
 /// With so many bytes unread a peer's window may be shut, and its end waits behind what it could not send.
 const CRAMMED: usize = 32 << 10;
-/// Each answer begins so.
-const BEGIN: &[u8] = b"HTTP/1.";
+/// Each answer to HTTP/1.0 begins so.
+const BEGIN: &[u8] = b"HTTP/1.0 ";
+/// So many of these bytes are kept for the moments in which something is about to be sent on.
+const KEPT: usize = 4;
 
 /// What may be sent to a peer that waits for an answer.
 #[derive(Clone, Copy, PartialEq)]
@@ -82,6 +87,40 @@
     Begin,
 }
 
+/// What is known of a peer that waits for an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Presence {
+    /// It has not ended its sending.
+    There,
+    /// It may have gone, and was asked; nothing came of that.
+    Asked,
+    /// It has closed its connection.
+    Gone,
+}
+
+/// A peer that waits for an answer, as others may ask after it.
+pub struct Waiter {
+    /// Danger: what is still out for a peer that has gone must not keep its descriptor.
+    socket: Weak<Socket>,
+    word: Word,
+    most: Duration,
+}
+
+impl Waiter {
+    /// A peer that `word` may be sent to, and whose reaction is waited for so long at most.
+    pub fn new(socket: &Rc<Socket>, word: Word, most: Duration) -> Self {
+        Waiter { socket: Rc::downgrade(socket), word, most }
+    }
+
+    /// Whether it is there now.
+    pub async fn presence(&self) -> Presence {
+        match self.socket.upgrade() {
+            None => Presence::Gone,
+            Some(socket) => socket.presence(self.word, self.most).await,
+        }
+    }
+}
+
 /// A stream that several parties look at: hyper reads and writes it through [`Io`].
 pub struct Socket {
     stream: TcpStream,
@@ -95,6 +134,9 @@
     moved: Cell<Instant>,
     /// When its peer was last asked whether it is there.
     asked: Cell<Option<Instant>>,
+    /// It has closed its connection.
+    gone: Cell<bool>,
+    went: Notify,
     /// So many bytes of [`BEGIN`] have gone ahead of hyper's.
     ahead: Cell<usize>,
     /// So many more bytes may come.
@@ -113,6 +155,8 @@
             stalled: Cell::new(false),
             moved: Cell::new(Instant::now()),
             asked: Cell::new(None),
+            gone: Cell::new(false),
+            went: Notify::new(),
             ahead: Cell::new(0),
             room: Cell::new(usize::MAX),
             _permit: permit,
@@ -161,14 +205,42 @@
         let _ = SockRef::from(&self.stream).shutdown(std::net::Shutdown::Both);
     }
 
-    /// Whether the peer has gone by the time that a request of it has been read. One that may have is asked, and
+    /// Whether the peer is there now, when something is about to be sent on for it. One that may have gone is asked, and
     /// what comes of that is waited for a little, `most`; not for each of many requests that it may have sent.
-    pub async fn has_gone(&self, word: Word, most: Duration) -> bool {
-        let asked_lately = self.asked.get().is_some_and(|at| at.elapsed() < ASK_EVERY);
-        if asked_lately || !self.ended().await && !self.crammed() {
-            return false;
+    /// Danger: a process that was busy does its work in any order; the kernel knows what the runtime has not looked at.
+    pub async fn presence(&self, word: Word, most: Duration) -> Presence {
+        if self.gone.get() {
+            return Presence::Gone;
+        }
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Presence::There,
+            Ok(0) => {}
+            // Its end is behind what it has sent, which only the runtime tells.
+            Ok(_) => {
+                yield_now().await;
+                if !self.ended().await && !self.crammed() {
+                    return Presence::There;
+                }
+            }
+            Err(_) => return self.left(),
+        }
+        let lately = self.asked.get().is_some_and(|at| at.elapsed() < ASK_EVERY);
+        if !lately && !self.ask(word) {
+            return self.left();
+        }
+        // What came of the last question may not have been looked at.
+        yield_now().await;
+        let most = if lately { Duration::ZERO } else { most };
+        match timeout(most, self.stream.ready(Interest::ERROR)).await {
+            Ok(_) => self.left(),
+            Err(_) => Presence::Asked,
         }
-        timeout(most, self.hung_up(word)).await.is_ok()
+    }
+
+    fn left(&self) -> Presence {
+        self.gone.set(true);
+        self.went.notify_one();
+        Presence::Gone
     }
 
     /// Whether the peer has ended its sending, as far as the runtime has heard; it may still wait for an answer.
@@ -186,21 +258,33 @@
     /// that is gone resets the connection; and as who still waits may go without a further sign, it is sent again and
     /// again.
     pub async fn hung_up(&self, word: Word) {
-        loop {
+        let mut gap = match word {
+            Word::Interim => ASK_EVERY,
+            Word::Begin => ASK_OLD,
+        };
+        while !self.gone.get() {
+            let spent = word == Word::Begin && self.ahead.get() + KEPT >= BEGIN.len();
             tokio::select! {
                 biased;
                 _ = self.stream.ready(Interest::ERROR) => return,
-                () = self.may_be_asked() => {}
+                () = self.went.notified() => return,
+                () = self.may_be_asked(gap), if !spent => {}
+            }
+            if !self.ended().await && !self.crammed() {
+                continue;
             }
-            if (self.ended().await || self.crammed()) && !self.ask(word) {
+            if !self.ask(word) {
                 return;
             }
+            if word == Word::Begin {
+                gap *= 2;
+            }
         }
     }
 
-    /// Returns once the peer's end has come and has not been asked about lately, and every now and then.
-    async fn may_be_asked(&self) {
-        let next = self.asked.get().map_or_else(Instant::now, |at| at + ASK_EVERY);
+    /// Returns once the peer's end has come and has not been asked about for so long, and every now and then.
+    async fn may_be_asked(&self, gap: Duration) {
+        let next = self.asked.get().map_or_else(Instant::now, |at| at + gap);
         tokio::select! {
             _ = self.stream.ready(Interest::PRIORITY) => sleep_until(next).await,
             () = sleep(ASK_EVERY) => {}
@@ -215,11 +299,11 @@
 
     /// Sends what means nothing to a peer that waits; false if it can't be sent any more.
     fn ask(&self, word: Word) -> bool {
+        self.asked.set(Some(Instant::now()));
         if self.stalled.get() {
             // What is still to be sent asks as well.
             return true;
         }
-        self.asked.set(Some(Instant::now()));
         let ahead = self.ahead.get();
         let text = match word {
             Word::Interim => b"HTTP/1.1 100 Continue\r\n\r\n".as_slice(),
@@ -331,63 +415,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use http_body_util::Full;
-    use hyper::body::Bytes;
-    use hyper::client::conn::http1;
-    use hyper::Request;
-    use hyper_util::rt::TokioIo;
-    use tokio::io::AsyncReadExt;
-    use tokio::net::{TcpListener, TcpSocket};
-
-    /// Danger: a kept connection on which something has come would give it to the next request. Nothing here lets the
-    /// runtime look at its sockets between the writing and the question.
-    #[tokio::test(flavor = "current_thread")]
-    async fn what_has_come_is_seen_before_the_runtime_has_looked() {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let stream = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
-        let (far, _) = listener.accept().await.expect("accepted");
-        far.writable().await.expect("writable");
-        let socket = Socket::new(stream, Descriptors::new(1).take().expect("a descriptor"));
-        assert!(socket.silent());
-        far.try_write(b"surplus").expect("written");
-        assert!(!socket.silent());
-    }
-
-    /// Danger: taken for unwritten, a request that ran would be sent again; taken for written, one that never
-    /// ran would be failed.
-    #[tokio::test(flavor = "current_thread")]
-    async fn a_message_is_whole_once_its_last_byte_is_written() {
-        const LENGTH: usize = 1 << 20;
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let near = TcpSocket::new_v4().expect("a socket");
-        near.set_send_buffer_size(4096).expect("a small buffer");
-        let stream = near.connect(listener.local_addr().expect("an address")).await.expect("connected");
-        let (mut far, _) = listener.accept().await.expect("accepted");
-        let socket = Socket::new(stream, Descriptors::new(1).take().expect("a descriptor"));
-        let (mut sender, connection) = http1::handshake(TokioIo::new(Io(socket.clone()))).await.expect("up");
-        let request = Request::put("/a").body(Full::new(Bytes::from(vec![b'x'; LENGTH]))).expect("a request");
-        let exchange = async { tokio::join!(connection, sender.send_request(request)) };
-        let mut exchange = std::pin::pin!(exchange);
-        // The first bytes have come, but the buffers between hold only a part of the rest.
-        let mut first = [0; 1];
-        tokio::select! {
-            _ = exchange.as_mut() => panic!("ended"),
-            read = far.read_exact(&mut first) => { read.expect("read"); }
-        }
-        assert!(!socket.whole());
-        let mut rest = vec![0; LENGTH];
-        tokio::select! {
-            _ = exchange.as_mut() => panic!("ended"),
-            read = far.read_exact(&mut rest) => { read.expect("read"); }
-        }
-        // The head is still to be read, so that the last byte may not have been written yet.
-        let head = "PUT /a HTTP/1.1\r\ncontent-length: 1048576\r\n\r\n".len() - 1;
-        tokio::select! {
-            _ = exchange.as_mut() => panic!("ended"),
-            read = far.read_exact(&mut rest[..head]) => { read.expect("read"); }
-        }
-        assert!(socket.whole());
-    }
-}
+mod tests;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -3,7 +3,7 @@
 use super::budget::Budget;
 use super::opening::Opening;
 use super::relay::{Outgoing, Relay};
-use super::socket::{Descriptors, Io, Socket};
+use super::socket::{Descriptors, Io, Presence, Socket, Waiter};
 use super::upload::{Payload, Sending};
 use super::{BODY_MOST, BUFFER_MOST, LARGEST};
 use aniseyoke_core::Fleet;
@@ -48,6 +48,26 @@
     pub uri: Uri,
     pub headers: HeaderMap,
     pub body: Payload,
+    /// Who waits for the answer.
+    pub waiter: Option<Waiter>,
+}
+
+impl Job {
+    /// Returns if the client still waits, and whether that had to be asked for; never if it has gone: who waits for the
+    /// client ends the attempt then.
+    /// Danger: between the decision on an attempt and its writing lie a queue, a timer, leave to open and a connection
+    /// that comes up late; the client may have left by then, unseen by a process that was busy.
+    async fn waits(&self, tether: &Tether) -> bool {
+        let presence = match &self.waiter {
+            // Danger: a client that has its answer must not be sent a word behind it.
+            Some(waiter) if !tether.shut() => waiter.presence().await,
+            _ => Presence::There,
+        };
+        if presence == Presence::Gone {
+            std::future::pending::<()>().await;
+        }
+        presence == Presence::Asked
+    }
 }
 
 impl aniseyoke_core::Job for Job {
@@ -313,12 +333,17 @@
             // Danger: a wait for leave must come before the body is taken up: what an attempt has read of an upload is
             // gone with it.
             let Some(idle) = self.leave(server, due, wait).await else { return Status::Moot.into() };
+            let asked = job.waits(tether).await;
+            let idle = idle.filter(|idle| !asked || idle.clean());
             let Some(body) = job.body.send() else { return Status::Moot.into() };
             let Some((addr, epoch)) = self.open_to(server) else { return Status::Moot.into() };
             let (mut connection, reused) = match idle.or_else(|| self.newest(server)) {
                 Some(connection) => (connection, true),
                 None => match self.connect(addr).await {
-                    Ok(connection) => (connection, false),
+                    Ok(connection) => {
+                        job.waits(tether).await;
+                        (connection, false)
+                    }
                     Err(status) => return status.into(),
                 },
             };
@@ -568,46 +593,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::net::TcpListener;
-
-    /// Danger: a report that can't be read, or says what can't be, must spoil neither its answer nor what is known.
-    #[test]
-    fn a_load_report_counts_only_if_it_makes_sense() {
-        let told = |text: &[u8]| {
-            let value = HeaderValue::from_bytes(text).expect("a value");
-            load(&HeaderMap::from_iter([(LOAD, value)]))
-        };
-        let row = told(br#"{"load_share":0.62,"err_ps":0.5,"tps":14,"x0":0.4,"new":[1]}"#);
-        assert_eq!(row, Load::new(0.62, 14.0));
-        assert!(row.is_some() && load(&HeaderMap::new()).is_none());
-        let bad: [&[u8]; 7] = [
-            b"",
-            b"{\"load_share\":0.6",
-            b"0.62,0.5,14",
-            br#"{"load_share":"0.6","tps":3}"#,
-            br#"{"load_share":-1,"tps":3}"#,
-            br#"{"load_share":1e300,"tps":1e300}"#,
-            b"\xff\xfe",
-        ];
-        assert!(bad.iter().all(|text| told(text).is_none()));
-    }
-
-    /// Danger: a node that is blamed for the proxy's own shortage is left with all its keys.
-    #[tokio::test(flavor = "current_thread")]
-    async fn a_lack_of_descriptors_is_not_the_nodes_fault() {
-        let node = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-        let upstreams = Upstreams::new(Descriptors::new(0), Budget::new(0), Duration::from_secs(30), 0, None);
-        let entry = Entry { server: 1, ..Entry::default() };
-        upstreams.update(true, &[(entry, node.local_addr().ok())]);
-        let job = Job {
-            method: Method::GET,
-            uri: Uri::default(),
-            headers: HeaderMap::new(),
-            body: Payload::empty(),
-        };
-        let ended = upstreams.within(1, &job, Duration::from_secs(30), &Tether::default()).await;
-        assert_eq!(ended.status, Status::Moot);
-    }
-}
+mod tests;
--- a/crates/proxy/tests/leavers.rs
+++ b/crates/proxy/tests/leavers.rs
@@ -1,5 +1,5 @@
-//! Clients that leave while their request waits: nothing is sent on for them from 0.3 s after that, whatever it waited for
-//! and however they left.
+//! Clients that leave while their request waits: nothing is sent on for them from 0.1 s after that, whatever it waited for
+//! and however they left, also by a process that was busy meanwhile.
 
 mod rig;
 
@@ -11,10 +11,13 @@
 use std::time::Duration;
 
 /// From so long after a client has left nothing is sent on for it.
-const TERM: Duration = Duration::from_millis(300);
+const TERM: Duration = Duration::from_millis(100);
 /// More than a client's window and its peer's buffers hold, in whole requests that wait behind the first.
 const MANY: usize = 16 << 20;
 
+/// So long a client may seem to wait that has ended its sending.
+const LONG_WAIT: Duration = Duration::from_millis(830);
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Way {
     Closes,
@@ -27,22 +30,25 @@
     ClosesOld,
     /// It ends its sending, seems to wait, and goes without a further sign.
     EndsThenCloses,
+    /// The same on HTTP/1.0, and it seems to wait for long.
+    EndsThenClosesOld,
 }
 
-const WAYS: [Way; 6] = [
+const WAYS: [Way; 7] = [
     Way::Closes,
     Way::Resets,
     Way::ClosesBehindMore,
     Way::ClosesBehindMany,
     Way::ClosesOld,
     Way::EndsThenCloses,
+    Way::EndsThenClosesOld,
 ];
 
 impl Way {
     /// What it asks as a read of a class.
     fn ask(self, client: &mut Peer, class: &str) {
         let mut text = get(class, "");
-        if self == Way::ClosesOld {
+        if matches!(self, Way::ClosesOld | Way::EndsThenClosesOld) {
             text = text.replacen("HTTP/1.1", "HTTP/1.0", 1);
         }
         client.write(&text);
@@ -65,14 +71,27 @@
                 }
             }
             Way::EndsThenCloses => {
-                client.0.get_ref().shutdown(Shutdown::Write).expect("half closed");
-                sleep(TERM);
+                client.end_and_read_for(TERM);
+            }
+            Way::EndsThenClosesOld => {
+                client.end_and_read_for(LONG_WAIT);
             }
         }
         drop(client);
     }
 }
 
+impl Peer {
+    /// Ends its sending, and reads what comes for so long. Danger: a close over unread bytes is a reset, which tells.
+    fn end_and_read_for(&mut self, time: Duration) {
+        let stream = self.0.get_mut();
+        stream.shutdown(Shutdown::Write).expect("half closed");
+        sleep(time);
+        stream.set_nonblocking(true).expect("not blocking");
+        while std::io::Read::read(stream, &mut [0; 4096]).is_ok_and(|n| n > 0) {}
+    }
+}
+
 /// A proxy with two cache nodes and an origin, started with settings that a test changes.
 struct Site {
     proxy: Proxy,
@@ -116,13 +135,85 @@
         assert_eq!(client.answer().status(), 200);
         assert!(self.origin.none_came() && self.nodes.iter().all(Server::none_came), "{way:?}");
     }
+
+    /// Whether any node gets a request before this one, which is asked a little later.
+    fn sent_on(&self) -> bool {
+        sleep(Duration::from_millis(80));
+        let mut client = self.proxy.client();
+        client.write(
+            "PUT /order/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: fence\r\nContent-Length: 1\r\n\r\nx",
+        );
+        let mut sent = false;
+        loop {
+            let came = self.nodes.iter().chain([&self.origin]).find_map(|s| s.taken.try_recv().ok());
+            let Some(stream) = came else {
+                sleep(Duration::from_millis(1));
+                continue;
+            };
+            match Peer::new(stream).read() {
+                Some(m) if m.header("x-correlation-id") == Some("fence") => return sent,
+                // A connection that brings nothing is no attempt.
+                came => sent |= came.is_some(),
+            }
+        }
+    }
+}
+
+/// How an attempt ends whose client has left.
+const ENDS: [&str; 3] = ["404 Not Found", "503 Service Unavailable", ""];
+/// So long after the close, in milliseconds.
+const DELAYS: [u64; 8] = [0, 15, 40, 70, 95, 115, 200, 320];
+
+/// Whether what a node answers `delay` after the close is sent on; in a `busy` process, which has done nothing since
+/// before the close.
+fn sent_on_after(way: Way, answer: &str, delay: Duration, busy: bool) -> bool {
+    let s = site(no_cancel, "");
+    let mut client = s.proxy.client();
+    way.ask(&mut client, "read");
+    let (_, mut node) = take_any(&s.nodes);
+    node.request();
+    if busy {
+        s.proxy.pause();
+    }
+    way.leave(client);
+    sleep(delay);
+    match answer {
+        "" => drop(node),
+        "503 Service Unavailable" => node.reply(answer, "X-Unprocessed: 1\r\n", ""),
+        _ => node.reply(answer, "X-Lookup: miss\r\n", ""),
+    }
+    if busy {
+        s.proxy.signal("-CONT");
+    }
+    s.sent_on()
+}
+
+/// Prints how late after the close the last attempt began.
+#[test]
+fn the_last_attempt_begins_at_most_a_tenth_of_a_second_after_the_close() {
+    let measure = |way: Way| {
+        let mut rows = Vec::new();
+        for answer in ENDS {
+            for busy in [false, true] {
+                let sent = |delay: &&u64| sent_on_after(way, answer, Duration::from_millis(**delay), busy);
+                rows.push((way, answer, busy, DELAYS.iter().filter(sent).max()));
+            }
+        }
+        rows
+    };
+    let threads = WAYS.map(|way| std::thread::spawn(move || measure(way)));
+    let rows: Vec<_> = threads.into_iter().flat_map(|t| t.join().expect("measured")).collect();
+    for (way, answer, busy, last) in &rows {
+        println!("{way:?}, {answer:?}, busy {busy}: {last:?} ms");
+    }
+    assert!(rows.iter().all(|(.., last)| last.is_none_or(|last| *last <= 100)), "{rows:?}");
 }
 
 /// Danger: a miss or an error would send a request on, to the origin or to another node, for nobody.
 #[test]
 fn what_a_node_answers_after_its_client_has_left_sends_nothing_on() {
     for way in WAYS {
-        for answer in ["404 Not Found", "503 Service Unavailable", ""] {
+        for answer in ENDS {
             let s = site(no_cancel, "");
             let mut client = s.proxy.client();
             way.ask(&mut client, "read");
@@ -181,6 +272,29 @@
     }
 }
 
+/// Danger: the timer of a process that was busy is over at once, before it has looked at its clients.
+#[test]
+fn no_second_copy_goes_out_late_for_a_client_that_left_a_busy_process() {
+    for way in [Way::Closes, Way::Resets, Way::ClosesBehindMany, Way::ClosesOld, Way::EndsThenCloses] {
+        let s = site(
+            |config| {
+                no_cancel(config);
+                config["settings"]["categories"][0]["promise_ns"] = json!(600_000_000u64);
+            },
+            "",
+        );
+        let mut client = s.proxy.client();
+        way.ask(&mut client, "read");
+        let (_, mut node) = take_any(&s.nodes);
+        node.request();
+        s.proxy.pause();
+        way.leave(client);
+        sleep(Duration::from_millis(700));
+        s.proxy.signal("-CONT");
+        assert!(!s.sent_on(), "{way:?}");
+    }
+}
+
 /// A node whose backlog is full: connections to it come up once it is taken from.
 fn late_node() -> (TcpListener, TcpStream) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
