--- a/crates/proxy/tests/leavers.rs
+++ b/crates/proxy/tests/leavers.rs
@@ -97,6 +97,8 @@
     proxy: Proxy,
     nodes: [Server; 2],
     origin: Server,
+    /// Danger: were it let go, a node of another test could get its port, and the calls that this proxy makes there.
+    _discovery: Server,
     _folder: tempfile::TempDir,
 }
 
@@ -115,7 +117,7 @@
     let proxy = Proxy::with(&settings, |c| {
         c.env("ANISEYOKE_FILE", &file);
     });
-    Site { proxy, nodes, origin, _folder: folder }
+    Site { proxy, nodes, origin, _discovery: discovery, _folder: folder }
 }
 
 fn no_cancel(config: &mut Value) {
