Have the auditor count attempts that begin over 0.1 s after a client has left

It counts them now with its slack of 0.05 s, as a rule of its own, AttemptForNobody, and a trial's report tells the number.

--- a/crates/lab/src/audit/mod.rs
+++ b/crates/lab/src/audit/mod.rs
@@ -20,6 +20,8 @@
 const KEPT_MOST: usize = 20;
 /// More than one in so many requests of clients that have left, sent on late, fail a day.
 const SENT_LATE_PART: u64 = 4;
+/// So many attempts of a day may begin late for clients that have left.
+const ATTEMPTS_LATE_MOST: u64 = 2;
 /// What is kept of one request's history.
 const HISTORY_MOST: usize = 64;
 
@@ -52,6 +54,9 @@
     /// The first of them.
     #[serde(default)]
     pub sent_late: Option<Violation>,
+    /// Attempts that began later than 0.1 s after the client had left. Each from the third on breaks a rule.
+    #[serde(default)]
+    pub attempts_for_nobody: u64,
     /// Requests that went unanswered at a proxy that the fault rig killed or paused meanwhile. No rule is broken by these.
     #[serde(default)]
     pub struck: u64,
@@ -145,7 +150,7 @@
         let found = self.judge.request(&history);
         self.verdict.closed_at_the_door += u64::from(found.closed_at_the_door);
         self.verdict.left += u64::from(found.left.is_some());
-        if found.left == Some(true) {
+        if found.left.is_some_and(|left| left.sent_on) {
             self.verdict.sent_for_nobody += 1;
             self.verdict.sent_late.get_or_insert_with(|| Violation {
                 rule: Rule::SentForNobody,
@@ -153,6 +158,16 @@
                 history: told(&history),
             });
         }
+        for _ in 0..found.left.map_or(0, |left| left.attempts) {
+            self.verdict.attempts_for_nobody += 1;
+            if self.verdict.attempts_for_nobody > ATTEMPTS_LATE_MOST {
+                self.verdict.add(Violation {
+                    rule: Rule::AttemptForNobody,
+                    what: "an attempt began after its client had left".into(),
+                    history: told(&history),
+                });
+            }
+        }
         self.verdict.struck += u64::from(found.struck);
         for (rule, what) in found.struck_twice {
             *self.verdict.struck_twice.entry(rule).or_default() += 1;
--- a/crates/lab/src/audit/rules.rs
+++ b/crates/lab/src/audit/rules.rs
@@ -33,6 +33,8 @@
     ForeignRequest,
     /// What clients asked for that have left is not sent on later: a day fails if more than a quarter of it is.
     SentForNobody,
+    /// Nor does any attempt begin for them soon after that: from the third of a day on each is a break.
+    AttemptForNobody,
     /// A proxy does not end by itself.
     Crash,
 }
@@ -45,6 +47,8 @@
 const SLACK: Nanos = 50 * MS;
 /// From so long after a client has left nothing is sent on for it.
 const LEFT_FOR: Nanos = 300 * MS;
+/// From so long after a client has left no attempt begins for it.
+const ATTEMPTS_END: Nanos = 100 * MS;
 /// The ledger's stop breaks the rule if misses at cold nodes caused more than this part of its load.
 const COLD_PART: f64 = 0.3;
 
@@ -55,8 +59,8 @@
     pub broken: Vec<(Rule, String)>,
     /// It was turned away with its connection before anything of it went on.
     pub closed_at_the_door: bool,
-    /// Its client left before it had an answer; and whether it was sent on late after that.
-    pub left: Option<bool>,
+    /// Its client left before it had an answer; and what was done for it after that.
+    pub left: Option<AfterLeaving>,
     /// It went unanswered at a proxy that the rig killed or paused meanwhile; that breaks no rule.
     pub struck: bool,
     /// Rules on running twice that it broke after the rig struck its proxy, when its client asked again elsewhere.
@@ -69,11 +73,23 @@
     }
 }
 
-/// Whether a request was sent on later than it may be after its client had left without an answer; none: it stayed.
-fn sent_after_leaving(history: &[Evidence]) -> Option<bool> {
+/// What was done for a request after its client had left without an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AfterLeaving {
+    /// It was sent on later than it may be.
+    pub sent_on: bool,
+    /// Attempts, first or further, that began later than they may.
+    pub attempts: u64,
+}
+
+/// What was done for a request after its client had left; none: it stayed.
+fn after_leaving(history: &[Evidence]) -> Option<AfterLeaving> {
     let left = history.iter().find(|e| matches!(e.seen, Seen::Left { .. }))?.at;
-    let late = |e: &Evidence| matches!(e.seen, Seen::Reached { .. }) && e.at > left + LEFT_FOR + SLACK;
-    Some(history.iter().any(late))
+    let reached = |most: Nanos| {
+        let late = move |e: &&Evidence| matches!(e.seen, Seen::Reached { .. }) && e.at > left + most + SLACK;
+        history.iter().filter(late).count() as u64
+    };
+    Some(AfterLeaving { sent_on: reached(LEFT_FOR) > 0, attempts: reached(ATTEMPTS_END) })
 }
 
 /// When a proxy was told what of a member; the times are of first mention, in order.
@@ -185,7 +201,7 @@
         self.bytes(history, &mut found);
         self.runs(history, &mut found);
         self.drains(proxy, history, &mut found);
-        found.left = sent_after_leaving(history);
+        found.left = after_leaving(history);
         if self.struck_at(proxy, history) {
             let before = found.broken.len();
             found.broken.retain(|(rule, _)| !matches!(rule, Rule::Lost | Rule::Unanswered));
--- a/crates/lab/src/trial/report.rs
+++ b/crates/lab/src/trial/report.rs
@@ -178,8 +178,8 @@
         if a.left > 0 {
             writeln!(
                 t,
-                "{} clients left while they waited, {} requests sent on late",
-                a.left, a.sent_for_nobody
+                "{} clients left while they waited, {} requests sent on late, {} attempts begun late",
+                a.left, a.sent_for_nobody, a.attempts_for_nobody
             )?;
         }
         if a.clean() {
--- a/crates/lab/tests/audit.rs
+++ b/crates/lab/tests/audit.rs
@@ -120,7 +120,7 @@
 fn what_is_sent_on_after_its_client_has_left_is_caught() {
     let day = day(|text| text.replace("[load]", "[load]\nrude = { leave_waiting = 0.3 }"));
     let report = play(&day, Fault::SendsLate);
-    assert_eq!(broken(&report), [Rule::SentForNobody], "{}", report.text());
+    assert_eq!(broken(&report), [Rule::SentForNobody, Rule::AttemptForNobody], "{}", report.text());
     assert!(
         report.audit.sent_for_nobody * 4 > report.audit.left && report.audit.left > 20,
         "{}",
@@ -131,6 +131,19 @@
     assert!(prompt.audit.left > 20, "{}", prompt.text());
 }
 
+#[test]
+fn an_attempt_that_begins_soon_after_its_client_has_left_is_caught_from_the_third_on() {
+    let leaving = |part: &str| {
+        let leaving = format!("[load]\nrude = {{ leave_waiting = {part} }}");
+        day(|text| text.replace("[load]", &leaving))
+    };
+    let report = play(&leaving("0.3"), Fault::SendsSoon);
+    assert_eq!(broken(&report), [Rule::AttemptForNobody], "{}", report.text());
+    let audit = &report.audit;
+    assert!(audit.attempts_for_nobody > 20, "{}", report.text());
+    assert_eq!(audit.broken[&Rule::AttemptForNobody], audit.attempts_for_nobody - 2, "{}", report.text());
+}
+
 #[test]
 fn a_changed_answer_is_caught() {
     caught(Fault::Changes, Rule::ForeignAnswer);
--- a/crates/lab/tests/broken/proxy.rs
+++ b/crates/lab/tests/broken/proxy.rs
@@ -41,6 +41,8 @@
     Invents,
     /// Requests wait, and are sent on whether their clients wait or not.
     SendsLate,
+    /// The same for a shorter time.
+    SendsSoon,
     /// The process ends by itself.
     Ends,
 }
@@ -51,6 +53,8 @@
 const AFTER_MARK: Duration = Duration::from_millis(700);
 /// Nothing may be sent on so long after a client has left.
 const AFTER_LEAVING: Duration = Duration::from_millis(450);
+/// No attempt may begin so long after a client has left, but what was asked for may be sent on.
+const SOON_AFTER: Duration = Duration::from_millis(220);
 /// Fetches for one miss, where the ledger is herded to.
 const FETCHES: usize = 8;
 
@@ -144,8 +148,10 @@
     }
 
     async fn carry(self: &Rc<Self>, asked: &Asked, body: &[u8], bad: bool) -> (u16, Vec<u8>) {
-        if self.fault == Fault::SendsLate {
-            sleep(AFTER_LEAVING).await;
+        match self.fault {
+            Fault::SendsLate => sleep(AFTER_LEAVING).await,
+            Fault::SendsSoon => sleep(SOON_AFTER).await,
+            _ => {}
         }
         let id = asked.id.clone().unwrap_or_default();
         let key = asked.path.rsplit('/').next().unwrap_or("");
