Force the leavers' crossings at a queue, at leave to open and at a late connection when busy

What waits for room at its node, for leave to open a connection, or for a connection that comes up late was tried with a quiet process alone. The tests now stop the process before the client leaves as well, for a close, a reset, a close behind more requests and an end of sending; and they try the client on HTTP/1.0 that ends its sending, waits 0.83 s and goes.

--- a/crates/proxy/tests/leavers.rs
+++ b/crates/proxy/tests/leavers.rs
@@ -309,7 +309,16 @@
 
 #[test]
 fn nothing_is_written_to_a_connection_that_comes_up_after_its_client_has_left() {
-    for (way, cancel) in [(Way::Closes, false), (Way::Closes, true), (Way::ClosesOld, false)] {
+    for (way, cancel, busy) in [
+        (Way::Closes, false, false),
+        (Way::Closes, true, false),
+        (Way::ClosesOld, false, false),
+        (Way::EndsThenClosesOld, false, false),
+        (Way::Closes, false, true),
+        (Way::Resets, false, true),
+        (Way::ClosesBehindMore, false, true),
+        (Way::EndsThenCloses, false, true),
+    ] {
         let (listener, filler) = late_node();
         let addr = listener.local_addr().expect("an address");
         let discovery = Server::new();
@@ -320,9 +329,17 @@
         way.ask(&mut client, "read");
         // The next health answer comes after the attempt has begun.
         assert_eq!(proxy.health(), 200);
+        if busy {
+            proxy.pause();
+        }
         way.leave(client);
         sleep(TERM);
         drop((listener.accept().expect("the filler"), filler));
+        if busy {
+            // The kernel tries again one second after the first time.
+            sleep(Duration::from_millis(1100));
+            proxy.signal("-CONT");
+        }
         listener.set_nonblocking(true).expect("not blocking");
         // The connection may come up still, but brings nothing; a fence through the same node is the first that does.
         let mut client = proxy.client();
@@ -334,7 +351,8 @@
             first = Peer::new(stream).read();
             first.is_some()
         });
-        assert_eq!(first.expect("a request").header("x-correlation-id"), Some("fence"));
+        let first = first.expect("a request");
+        assert_eq!(first.header("x-correlation-id"), Some("fence"), "{way:?}, busy {busy}");
     }
 }
 
@@ -343,9 +361,22 @@
 fn who_leaves_while_waiting_for_room_or_leave_is_never_sent() {
     let one = "[limits.node]\nfloor = 1.0\nstart = 1.0\nceiling = 1.0\n[limits.queue]\ninterval = \"10s\"\n";
     let slow = "[opening]\nper_node = 1.0\norigin = 400.0\n";
-    for (way, operator) in
-        [(Way::Closes, one), (Way::ClosesOld, one), (Way::Closes, slow), (Way::Resets, slow)]
-    {
+    for (way, operator, busy) in [
+        (Way::Closes, one, false),
+        (Way::ClosesOld, one, false),
+        (Way::EndsThenClosesOld, one, false),
+        (Way::Closes, slow, false),
+        (Way::Resets, slow, false),
+        (Way::EndsThenClosesOld, slow, false),
+        (Way::Closes, one, true),
+        (Way::Resets, one, true),
+        (Way::ClosesBehindMore, one, true),
+        (Way::EndsThenCloses, one, true),
+        (Way::Closes, slow, true),
+        (Way::Resets, slow, true),
+        (Way::ClosesBehindMore, slow, true),
+        (Way::EndsThenCloses, slow, true),
+    ] {
         let alone = |config: &mut Value| {
             no_cancel(config);
             config["known"]["servers"].as_array_mut().expect("a list").remove(1);
@@ -359,12 +390,19 @@
         way.ask(&mut client, "read");
         assert_eq!(s.proxy.health(), 200);
         assert!(s.nodes[0].none_came());
+        if busy {
+            s.proxy.pause();
+        }
         way.leave(client);
         sleep(TERM);
         node.reply("200 OK", "X-Lookup: hit\r\n", "");
+        if busy {
+            s.proxy.signal("-CONT");
+        }
         assert_eq!(first.answer().status(), 200);
         first.write(&get_as("fence", "read", ""));
-        assert_eq!(node.request().header("x-correlation-id"), Some("fence"));
+        let next = node.request();
+        assert_eq!(next.header("x-correlation-id"), Some("fence"), "{way:?}, busy {busy}");
     }
 }
 
