--- a/crates/proxy/tests/leavers.rs
+++ b/crates/proxy/tests/leavers.rs
@@ -1,5 +1,5 @@
-//! Clients that leave while their request waits: nothing is sent on for them from 0.3 s after that, whatever it waited for
-//! and however they left.
+//! Clients that leave while their request waits: nothing is sent on for them from 0.1 s after that, whatever it waited for
+//! and however they left, also by a process that was busy meanwhile.
 
 mod rig;
 
@@ -11,10 +11,13 @@
 use std::time::Duration;
 
 /// From so long after a client has left nothing is sent on for it.
-const TERM: Duration = Duration::from_millis(300);
+const TERM: Duration = Duration::from_millis(100);
 /// More than a client's window and its peer's buffers hold, in whole requests that wait behind the first.
 const MANY: usize = 16 << 20;
 
+/// So long a client may seem to wait that has ended its sending.
+const LONG_WAIT: Duration = Duration::from_millis(830);
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Way {
     Closes,
@@ -27,22 +30,25 @@
     ClosesOld,
     /// It ends its sending, seems to wait, and goes without a further sign.
     EndsThenCloses,
+    /// The same on HTTP/1.0, and it seems to wait for long.
+    EndsThenClosesOld,
 }
 
-const WAYS: [Way; 6] = [
+const WAYS: [Way; 7] = [
     Way::Closes,
     Way::Resets,
     Way::ClosesBehindMore,
     Way::ClosesBehindMany,
     Way::ClosesOld,
     Way::EndsThenCloses,
+    Way::EndsThenClosesOld,
 ];
 
 impl Way {
     /// What it asks as a read of a class.
     fn ask(self, client: &mut Peer, class: &str) {
         let mut text = get(class, "");
-        if self == Way::ClosesOld {
+        if matches!(self, Way::ClosesOld | Way::EndsThenClosesOld) {
             text = text.replacen("HTTP/1.1", "HTTP/1.0", 1);
         }
         client.write(&text);
@@ -65,19 +71,34 @@
                 }
             }
             Way::EndsThenCloses => {
-                client.0.get_ref().shutdown(Shutdown::Write).expect("half closed");
-                sleep(TERM);
+                client.end_and_read_for(TERM);
+            }
+            Way::EndsThenClosesOld => {
+                client.end_and_read_for(LONG_WAIT);
             }
         }
         drop(client);
     }
 }
 
+impl Peer {
+    /// Ends its sending, and reads what comes for so long. Danger: a close over unread bytes is a reset, which tells.
+    fn end_and_read_for(&mut self, time: Duration) {
+        let stream = self.0.get_mut();
+        stream.shutdown(Shutdown::Write).expect("half closed");
+        sleep(time);
+        stream.set_nonblocking(true).expect("not blocking");
+        while std::io::Read::read(stream, &mut [0; 4096]).is_ok_and(|n| n > 0) {}
+    }
+}
+
 /// A proxy with two cache nodes and an origin, started with settings that a test changes.
 struct Site {
     proxy: Proxy,
     nodes: [Server; 2],
     origin: Server,
+    /// Danger: were it let go, a node of another test could get its port, and the calls that this proxy makes there.
+    _discovery: Server,
     _folder: tempfile::TempDir,
 }
 
@@ -96,7 +117,7 @@
     let proxy = Proxy::with(&settings, |c| {
         c.env("ANISEYOKE_FILE", &file);
     });
-    Site { proxy, nodes, origin, _folder: folder }
+    Site { proxy, nodes, origin, _discovery: discovery, _folder: folder }
 }
 
 fn no_cancel(config: &mut Value) {
@@ -116,13 +137,85 @@
         assert_eq!(client.answer().status(), 200);
         assert!(self.origin.none_came() && self.nodes.iter().all(Server::none_came), "{way:?}");
     }
+
+    /// Whether any node gets a request before this one, which is asked a little later.
+    fn sent_on(&self) -> bool {
+        sleep(Duration::from_millis(80));
+        let mut client = self.proxy.client();
+        client.write(
+            "PUT /order/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: fence\r\nContent-Length: 1\r\n\r\nx",
+        );
+        let mut sent = false;
+        loop {
+            let came = self.nodes.iter().chain([&self.origin]).find_map(|s| s.taken.try_recv().ok());
+            let Some(stream) = came else {
+                sleep(Duration::from_millis(1));
+                continue;
+            };
+            match Peer::new(stream).read() {
+                Some(m) if m.header("x-correlation-id") == Some("fence") => return sent,
+                // A connection that brings nothing is no attempt.
+                came => sent |= came.is_some(),
+            }
+        }
+    }
+}
+
+/// How an attempt ends whose client has left.
+const ENDS: [&str; 3] = ["404 Not Found", "503 Service Unavailable", ""];
+/// So long after the close, in milliseconds.
+const DELAYS: [u64; 8] = [0, 15, 40, 70, 95, 115, 200, 320];
+
+/// Whether what a node answers `delay` after the close is sent on; in a `busy` process, which has done nothing since
+/// before the close.
+fn sent_on_after(way: Way, answer: &str, delay: Duration, busy: bool) -> bool {
+    let s = site(no_cancel, "");
+    let mut client = s.proxy.client();
+    way.ask(&mut client, "read");
+    let (_, mut node) = take_any(&s.nodes);
+    node.request();
+    if busy {
+        s.proxy.pause();
+    }
+    way.leave(client);
+    sleep(delay);
+    match answer {
+        "" => drop(node),
+        "503 Service Unavailable" => node.reply(answer, "X-Unprocessed: 1\r\n", ""),
+        _ => node.reply(answer, "X-Lookup: miss\r\n", ""),
+    }
+    if busy {
+        s.proxy.signal("-CONT");
+    }
+    s.sent_on()
+}
+
+/// Prints how late after the close the last attempt began.
+#[test]
+fn the_last_attempt_begins_at_most_a_tenth_of_a_second_after_the_close() {
+    let measure = |way: Way| {
+        let mut rows = Vec::new();
+        for answer in ENDS {
+            for busy in [false, true] {
+                let sent = |delay: &&u64| sent_on_after(way, answer, Duration::from_millis(**delay), busy);
+                rows.push((way, answer, busy, DELAYS.iter().filter(sent).max()));
+            }
+        }
+        rows
+    };
+    let threads = WAYS.map(|way| std::thread::spawn(move || measure(way)));
+    let rows: Vec<_> = threads.into_iter().flat_map(|t| t.join().expect("measured")).collect();
+    for (way, answer, busy, last) in &rows {
+        println!("{way:?}, {answer:?}, busy {busy}: {last:?} ms");
+    }
+    assert!(rows.iter().all(|(.., last)| last.is_none_or(|last| *last <= 100)), "{rows:?}");
 }
 
 /// Danger: a miss or an error would send a request on, to the origin or to another node, for nobody.
 #[test]
 fn what_a_node_answers_after_its_client_has_left_sends_nothing_on() {
     for way in WAYS {
-        for answer in ["404 Not Found", "503 Service Unavailable", ""] {
+        for answer in ENDS {
             let s = site(no_cancel, "");
             let mut client = s.proxy.client();
             way.ask(&mut client, "read");
@@ -181,6 +274,29 @@
     }
 }
 
+/// Danger: the timer of a process that was busy is over at once, before it has looked at its clients.
+#[test]
+fn no_second_copy_goes_out_late_for_a_client_that_left_a_busy_process() {
+    for way in [Way::Closes, Way::Resets, Way::ClosesBehindMany, Way::ClosesOld, Way::EndsThenCloses] {
+        let s = site(
+            |config| {
+                no_cancel(config);
+                config["settings"]["categories"][0]["promise_ns"] = json!(600_000_000u64);
+            },
+            "",
+        );
+        let mut client = s.proxy.client();
+        way.ask(&mut client, "read");
+        let (_, mut node) = take_any(&s.nodes);
+        node.request();
+        s.proxy.pause();
+        way.leave(client);
+        sleep(Duration::from_millis(700));
+        s.proxy.signal("-CONT");
+        assert!(!s.sent_on(), "{way:?}");
+    }
+}
+
 /// A node whose backlog is full: connections to it come up once it is taken from.
 fn late_node() -> (TcpListener, TcpStream) {
     let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
@@ -193,7 +309,16 @@
 
 #[test]
 fn nothing_is_written_to_a_connection_that_comes_up_after_its_client_has_left() {
-    for (way, cancel) in [(Way::Closes, false), (Way::Closes, true), (Way::ClosesOld, false)] {
+    for (way, cancel, busy) in [
+        (Way::Closes, false, false),
+        (Way::Closes, true, false),
+        (Way::ClosesOld, false, false),
+        (Way::EndsThenClosesOld, false, false),
+        (Way::Closes, false, true),
+        (Way::Resets, false, true),
+        (Way::ClosesBehindMore, false, true),
+        (Way::EndsThenCloses, false, true),
+    ] {
         let (listener, filler) = late_node();
         let addr = listener.local_addr().expect("an address");
         let discovery = Server::new();
@@ -204,9 +329,17 @@
         way.ask(&mut client, "read");
         // The next health answer comes after the attempt has begun.
         assert_eq!(proxy.health(), 200);
+        if busy {
+            proxy.pause();
+        }
         way.leave(client);
         sleep(TERM);
         drop((listener.accept().expect("the filler"), filler));
+        if busy {
+            // The kernel tries again one second after the first time.
+            sleep(Duration::from_millis(1100));
+            proxy.signal("-CONT");
+        }
         listener.set_nonblocking(true).expect("not blocking");
         // The connection may come up still, but brings nothing; a fence through the same node is the first that does.
         let mut client = proxy.client();
@@ -218,7 +351,8 @@
             first = Peer::new(stream).read();
             first.is_some()
         });
-        assert_eq!(first.expect("a request").header("x-correlation-id"), Some("fence"));
+        let first = first.expect("a request");
+        assert_eq!(first.header("x-correlation-id"), Some("fence"), "{way:?}, busy {busy}");
     }
 }
 
@@ -227,9 +361,22 @@
 fn who_leaves_while_waiting_for_room_or_leave_is_never_sent() {
     let one = "[limits.node]\nfloor = 1.0\nstart = 1.0\nceiling = 1.0\n[limits.queue]\ninterval = \"10s\"\n";
     let slow = "[opening]\nper_node = 1.0\norigin = 400.0\n";
-    for (way, operator) in
-        [(Way::Closes, one), (Way::ClosesOld, one), (Way::Closes, slow), (Way::Resets, slow)]
-    {
+    for (way, operator, busy) in [
+        (Way::Closes, one, false),
+        (Way::ClosesOld, one, false),
+        (Way::EndsThenClosesOld, one, false),
+        (Way::Closes, slow, false),
+        (Way::Resets, slow, false),
+        (Way::EndsThenClosesOld, slow, false),
+        (Way::Closes, one, true),
+        (Way::Resets, one, true),
+        (Way::ClosesBehindMore, one, true),
+        (Way::EndsThenCloses, one, true),
+        (Way::Closes, slow, true),
+        (Way::Resets, slow, true),
+        (Way::ClosesBehindMore, slow, true),
+        (Way::EndsThenCloses, slow, true),
+    ] {
         let alone = |config: &mut Value| {
             no_cancel(config);
             config["known"]["servers"].as_array_mut().expect("a list").remove(1);
@@ -243,12 +390,19 @@
         way.ask(&mut client, "read");
         assert_eq!(s.proxy.health(), 200);
         assert!(s.nodes[0].none_came());
+        if busy {
+            s.proxy.pause();
+        }
         way.leave(client);
         sleep(TERM);
         node.reply("200 OK", "X-Lookup: hit\r\n", "");
+        if busy {
+            s.proxy.signal("-CONT");
+        }
         assert_eq!(first.answer().status(), 200);
         first.write(&get_as("fence", "read", ""));
-        assert_eq!(node.request().header("x-correlation-id"), Some("fence"));
+        let next = node.request();
+        assert_eq!(next.header("x-correlation-id"), Some("fence"), "{way:?}, busy {busy}");
     }
 }
 
