--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -278,11 +278,9 @@
         opening: Option<Opening>,
     ) -> Rc<Self> {
         // Danger: a request written to a connection that its node is just closing ends as a reset, and may
-        // have run. The node counts from its own last byte, so leave it a good part of the time.
-        let idle_most = match conn_idle {
-            0 => Duration::from_secs(5),
-            limit => Duration::from_nanos(limit / 4 * 3),
-        };
+        // have run. The node counts from its own last byte, so leave it a good part of the time. With 0 the node
+        // closes as soon as it has answered, and no connection is used again.
+        let idle_most = Duration::from_nanos(conn_idle / 4 * 3);
         let (nodes, banned) = (RefCell::default(), RefCell::default());
         let (epochs, opening) = (Cell::new(0), opening.map(RefCell::new));
         Rc::new(Upstreams { nodes, banned, descriptors, budget, connect_timeout, idle_most, epochs, opening })
@@ -486,7 +484,7 @@
     }
 
     fn keep(&self, server: ServerId, epoch: u64, connection: Connection) {
-        if !connection.clean() {
+        if self.idle_most.is_zero() || !connection.clean() {
             return;
         }
         if let Some(node) = self.nodes.borrow_mut().get_mut(&server).filter(|n| n.epoch == epoch && n.ready) {
