Decide without I/O who is sent which purges, and what is done everywhere

Need: nothing carried a purge, and the control service told every proxy itself. The new modules are a bounded numbered log, a relay's decisions (batches, replay in frames under a window, flushes spread in time, going back upstream for what those below lack after a restart, what all below have done and who lacks it by name), a member's side with duplicates, gaps and a lease, and which publishers' calls were numbered already.

--- a/crates/fanout/src/lib.rs
+++ b/crates/fanout/src/lib.rs
@@ -8,8 +8,16 @@
 #![warn(missing_docs)]
 
 pub mod keys;
+pub mod log;
+pub mod member;
+pub mod publishers;
+pub mod relay;
 
 pub use keys::{Keys, Progress};
+pub use log::Log;
+pub use member::{Member, Told};
+pub use publishers::Publishers;
+pub use relay::{Action, Relay, Settings};
 
 /// Nanoseconds from any fixed point.
 pub type Nanos = u64;
