--- a/crates/control/src/client.rs
+++ b/crates/control/src/client.rs
@@ -1,8 +1,9 @@
 //! A follower on sockets: a thin driver that connects, reads, writes and lets time pass.
 
 use crate::follower::{Action, Follower};
-use crate::frame::{decode, encode, FromService};
+use crate::frame::{decode, encode, FromProxy, FromService};
 use crate::version::Version;
+use aniseyoke_fanout::Progress;
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -35,6 +36,34 @@
 
     /// Requests served, refused and failed since it was last asked.
     fn answered(&self) -> [u64; 3];
+
+    /// Where it stands in the log of purges; none: it takes no purges.
+    fn stands(&self) -> Option<Progress> {
+        None
+    }
+
+    /// A connection is there, and hello was said on it.
+    fn connected(&self) {}
+
+    /// A frame of purges has come.
+    fn purges(&self, _frame: FromService) {}
+
+    /// What is to be said of purges, whenever there is something. Who gives it up before it has an answer loses nothing.
+    fn upward(&self) -> impl Future<Output = Upward> {
+        std::future::pending()
+    }
+
+    /// A newer version waits for the one that is being put in force.
+    fn newer(&self) {}
+}
+
+/// What is said of purges.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Upward {
+    /// Say hello again: something is missing.
+    Hello,
+    /// Send this.
+    Frame(FromProxy),
 }
 
 /// A version that is being put in force.
@@ -103,16 +132,33 @@
                         wire.writes = Some(writes);
                         let task = tokio::task::spawn_local(read(number, reads, most, tell.clone()));
                         wire.task = Some(task.abort_handle());
+                        follower.stands(host.stands());
                         follower.connected(now(), &mut actions);
+                        host.connected();
                     }
                     Came::Connected(None) | Came::Ended => {
                         wire.end();
                         follower.disconnected(now());
                     }
-                    Came::Frame(frame) => follower.frame(now(), frame, &mut actions),
+                    Came::Frame(frame) => {
+                        if matches!(frame, FromService::Purges { .. } | FromService::Flush { .. }) {
+                            host.purges(frame.clone());
+                        }
+                        follower.frame(now(), frame, &mut actions);
+                        if follower.has_newer() {
+                            host.newer();
+                        }
+                    }
                     Came::Malformed(why) => follower.malformed(now(), &why, &mut actions),
                 }
             }
+            upward = host.upward(), if wire.writes.is_some() => match upward {
+                Upward::Hello => {
+                    follower.stands(host.stands());
+                    follower.hello(now(), &mut actions);
+                }
+                Upward::Frame(frame) => follower.say(now(), frame, &mut actions),
+            },
             _ = ticks.tick() => {
                 follower.tick(now(), &mut actions);
                 if reported.elapsed() >= REPORT {
--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -2,6 +2,7 @@
 
 use crate::frame::{FromProxy, FromService, PROTOCOL};
 use crate::version::{Stamp, Version};
+use aniseyoke_fanout::Progress;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::BTreeMap;
@@ -92,6 +93,7 @@
     next: Option<Version>,
     /// What was turned down last, so that it is not tried again when it comes again.
     refused: Option<(Stamp, String, Vec<String>)>,
+    purges: Option<Progress>,
 }
 
 impl Follower {
@@ -115,6 +117,7 @@
             trying: None,
             next: None,
             refused: None,
+            purges: None,
         }
     }
 
@@ -146,6 +149,30 @@
         }
     }
 
+    /// Where whoever drives it stands in the log of purges: said in `hello`; none, as at first: it takes no purges.
+    pub fn stands(&mut self, purges: Option<Progress>) {
+        self.purges = purges;
+    }
+
+    /// Says hello again on the same connection, where purges are missing.
+    pub fn hello(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        let Identity { instance, boot, labels, frame_most } = self.identity.clone();
+        let running = self.running.as_ref().map(|v| (v.stamp, v.digest.clone()));
+        let (protocol, purges) = (PROTOCOL, self.purges);
+        let hello = FromProxy::Hello { protocol, instance, boot, labels, frame_most, running, purges };
+        self.send(now, hello, actions);
+    }
+
+    /// Sends a frame of purges.
+    pub fn say(&mut self, now: Nanos, frame: FromProxy, actions: &mut Vec<Action>) {
+        self.send(now, frame, actions);
+    }
+
+    /// Whether a newer version waits for the one that is being put in force.
+    pub fn has_newer(&self) -> bool {
+        self.next.is_some()
+    }
+
     /// The connection that was asked for is there.
     pub fn connected(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         if !matches!(self.link, Link::Connecting(_)) {
@@ -153,21 +180,7 @@
             return;
         }
         self.link = Link::Up { heard: now, said: now };
-        let Identity { instance, boot, labels, frame_most } = self.identity.clone();
-        let running = self.running.as_ref().map(|v| (v.stamp, v.digest.clone()));
-        self.send(
-            now,
-            FromProxy::Hello {
-                protocol: PROTOCOL,
-                instance,
-                boot,
-                labels,
-                frame_most,
-                running,
-                purges: None,
-            },
-            actions,
-        );
+        self.hello(now, actions);
     }
 
     /// The connection could not be made, or has ended.
--- a/crates/control/src/frame.rs
+++ b/crates/control/src/frame.rs
@@ -175,7 +175,7 @@
         /// The publisher's own number of this call, rising. A call that is made again under the same number gets the
         /// same answer, and nothing is numbered a second time.
         sequence: u64,
-        /// The objects' keys.
+        /// The objects' keys; XXH3-64 of each is what goes over the wire.
         keys: Vec<String>,
     },
     /// Tell how far purges have come.
@@ -241,6 +241,8 @@
     pub p99: f64,
     /// The one that took longest.
     pub most: f64,
+    /// Beside these, how many were done by all but some that lacked them.
+    pub short: u64,
 }
 
 /// The version of this protocol.
--- a/crates/control/src/publisher.rs
+++ b/crates/control/src/publisher.rs
@@ -92,6 +92,8 @@
     rollout: Option<Rollout>,
     /// Frames that are sent to many: the base, none for the whole, and the version.
     encoded: FxHashMap<(Option<Stamp>, Stamp), Arc<[u8]>>,
+    /// Requests served, refused and failed, as reported.
+    answered: [u64; 3],
 }
 
 impl Publisher {
@@ -105,6 +107,7 @@
             settled: None,
             rollout: None,
             encoded: FxHashMap::default(),
+            answered: [0; 3],
         }
     }
 
@@ -152,7 +155,18 @@
         plan.check().map_err(|e| e.to_string())?;
         let number = self.newest().map_or(0, |v| v.stamp.number) + 1;
         let stamp = Stamp { epoch: self.epoch, number };
-        let version = Version::new(stamp, &body);
+        self.bring_out(now, Version::new(stamp, &body), plan, out)?;
+        Ok(stamp)
+    }
+
+    fn bring_out(
+        &mut self,
+        now: Nanos,
+        version: Version,
+        plan: Plan,
+        out: &mut Vec<Outgoing>,
+    ) -> Result<(), String> {
+        let stamp = version.stamp;
         let bytes = whole(&version).map_err(|e| e.to_string())?;
         if let Some(before) = self.rollout.take() {
             if before.state() == &State::Everybody {
@@ -170,7 +184,36 @@
         self.encoded.insert((None, stamp), bytes);
         self.rollout = Some(Rollout::new(now, stamp, plan));
         self.bring(now, out);
-        Ok(stamp)
+        Ok(())
+    }
+
+    /// Passes a version that another service published on to everybody, under its own stamp.
+    ///
+    /// # Errors
+    /// If it is older than the newest, is another under the same stamp, or is too long to be sent.
+    pub fn adopt(&mut self, now: Nanos, version: Version, out: &mut Vec<Outgoing>) -> Result<(), String> {
+        let stamp = version.stamp;
+        match self.newest() {
+            Some(newest) if newest.stamp == stamp && newest.digest == version.digest => return Ok(()),
+            Some(newest) if newest.stamp >= stamp => {
+                return Err(format!(
+                    "version {stamp} does not follow {}, which came before it",
+                    newest.stamp
+                ));
+            }
+            _ => {}
+        }
+        self.bring_out(now, version, Plan::default(), out)
+    }
+
+    /// How many were sent a version and have not answered.
+    pub fn pending(&self, stamp: Stamp) -> usize {
+        self.subscribers.values().filter(|s| s.sent == Some(stamp)).count()
+    }
+
+    /// Requests served, refused and failed that proxies reported since this was last asked.
+    pub fn answered(&mut self) -> [u64; 3] {
+        std::mem::take(&mut self.answered)
     }
 
     /// Publishes what an earlier version said as a version of its own.
@@ -251,6 +294,9 @@
                 self.send(now, id, true, out);
             }
             FromProxy::Report { stamp, served, refused, failed } => {
+                for (sum, more) in self.answered.iter_mut().zip([served, refused, failed]) {
+                    *sum = sum.saturating_add(more);
+                }
                 let bad = refused.saturating_add(failed);
                 let answers = Answers { all: served.saturating_add(bad), bad };
                 if let Some(rollout) = self.rollout.as_mut() {
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -1,7 +1,10 @@
-//! The service on sockets: a thin driver around [`Publisher`], one task for each proxy and each operator.
+//! The service on sockets: a thin driver around [`Publisher`], one task for each proxy and each operator. A relay is one
+//! that publishes nothing of its own.
 
 use crate::frame::{decode, encode, FromOperator, FromProxy, Malformed, ToOperator};
+use crate::keeper::Taker;
 use crate::publisher::{Id, Outgoing, Publisher};
+use crate::purges::Purges;
 use crate::rollout::Plan;
 use crate::version::{Stamp, Version};
 use rustc_hash::FxHashMap;
@@ -16,7 +19,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 /// Frames that wait for a proxy to take them; one that leaves more untaken is let go.
-const WAITING: usize = 16;
+pub(crate) const WAITING: usize = 16;
 /// A proxy takes a frame within this time.
 const TAKES_WITHIN: Duration = Duration::from_secs(30);
 /// A proxy's frame is at most this long, in bytes.
@@ -24,24 +27,42 @@
 /// An operator's call comes whole within this time.
 const CALL_WITHIN: Duration = Duration::from_secs(10);
 /// Operators that are heard at once.
-const OPERATORS: usize = 8;
+const OPERATORS: usize = 32;
 const TICK: Duration = Duration::from_secs(1);
 const PART: usize = 16 << 10;
 
+/// A proxy's connection.
+struct Writer {
+    queue: mpsc::Sender<Outgoing>,
+    end: Rc<Notify>,
+}
+
 /// A running service.
 pub struct Service {
     publisher: RefCell<Publisher>,
-    writers: RefCell<FxHashMap<Id, mpsc::Sender<Outgoing>>>,
+    writers: RefCell<FxHashMap<Id, Writer>>,
     start: Instant,
     next: Cell<Id>,
     operators: Cell<usize>,
     /// Told when a version was published.
     pub published: Notify,
+    /// Told when somebody said what became of a version, or has gone.
+    pub(crate) answered: Notify,
+    purges: Option<Rc<Purges>>,
+    taker: RefCell<Option<Taker>>,
+    /// Versions come from upstream.
+    relays: bool,
 }
 
 impl Service {
     /// A service around a publisher.
     pub fn new(publisher: Publisher) -> Rc<Self> {
+        Self::with(publisher, None, false)
+    }
+
+    /// A service that passes purges on as well; `relays`: its versions come from upstream, and it takes none from
+    /// operators.
+    pub fn with(publisher: Publisher, purges: Option<Rc<Purges>>, relays: bool) -> Rc<Self> {
         Rc::new(Service {
             publisher: RefCell::new(publisher),
             writers: RefCell::default(),
@@ -49,10 +70,14 @@
             next: Cell::new(1),
             operators: Cell::new(0),
             published: Notify::new(),
+            answered: Notify::new(),
+            purges,
+            taker: RefCell::default(),
+            relays,
         })
     }
 
-    fn now(&self) -> u64 {
+    pub(crate) fn now(&self) -> u64 {
         self.start.elapsed().as_nanos() as u64
     }
 
@@ -66,13 +91,51 @@
         self.look(|p| p.newest().cloned())
     }
 
+    /// Takes publishers' purges from now on.
+    pub(crate) fn takes(&self, taker: Taker) {
+        *self.taker.borrow_mut() = Some(taker);
+    }
+
+    /// Frames that a connection's queue still takes.
+    pub(crate) fn room(&self, id: Id) -> usize {
+        self.writers.borrow().get(&id).map_or(0, |writer| writer.queue.capacity())
+    }
+
+    /// Whether a frame was put into its connection's queue.
+    pub(crate) fn send(&self, outgoing: Outgoing) -> bool {
+        let writers = self.writers.borrow();
+        writers.get(&outgoing.to).is_some_and(|writer| writer.queue.try_send(outgoing).is_ok())
+    }
+
+    /// Ends a connection.
+    pub(crate) fn let_go(&self, id: Id) {
+        if let Some(writer) = self.writers.borrow_mut().remove(&id) {
+            writer.end.notify_one();
+        }
+    }
+
+    /// Requests served, refused and failed that proxies reported since this was last asked.
+    pub(crate) fn answers(&self) -> [u64; 3] {
+        self.publisher.borrow_mut().answered()
+    }
+
+    /// Passes a version from upstream on, under its own stamp.
+    ///
+    /// # Errors
+    /// As [`Publisher::adopt`].
+    pub(crate) fn adopt(&self, version: Version) -> Result<(), String> {
+        self.act(|p, now, out| p.adopt(now, version, out))?;
+        self.published.notify_one();
+        Ok(())
+    }
+
     fn act<T>(&self, what: impl FnOnce(&mut Publisher, u64, &mut Vec<Outgoing>) -> T) -> T {
         let mut out = Vec::new();
         let done = what(&mut self.publisher.borrow_mut(), self.now(), &mut out);
         for outgoing in out {
             let to = outgoing.to;
             let full = match self.writers.borrow().get(&to) {
-                Some(writer) => writer.try_send(outgoing).is_err(),
+                Some(writer) => writer.queue.try_send(outgoing).is_err(),
                 None => false,
             };
             if full {
@@ -102,6 +165,9 @@
                 ticking.act(|p, now, out| p.tick(now, out));
             }
         });
+        if let Some(purges) = self.purges.clone() {
+            tokio::task::spawn_local(purges.drive(self.clone()));
+        }
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
@@ -117,7 +183,8 @@
 
     async fn subscriber(self: Rc<Self>, id: Id, stream: TcpStream) {
         let (writer, mut waiting) = mpsc::channel::<Outgoing>(WAITING);
-        self.writers.borrow_mut().insert(id, writer);
+        let end = Rc::new(Notify::new());
+        self.writers.borrow_mut().insert(id, Writer { queue: writer, end: end.clone() });
         // It only costs time.
         let _ = stream.set_nodelay(true);
         let (mut reads, mut writes) = stream.into_split();
@@ -134,7 +201,7 @@
             let mut part = vec![0; PART];
             loop {
                 match decode::<FromProxy>(&mut came, FROM_PROXY_MOST) {
-                    Ok(Some(frame)) => self.act(|p, now, out| p.frame(now, id, frame, out)),
+                    Ok(Some(frame)) => self.heard(id, frame),
                     Ok(None) => match reads.read(&mut part).await {
                         Ok(n) if n > 0 => came.extend_from_slice(&part[..n]),
                         _ => return,
@@ -146,9 +213,26 @@
         tokio::select! {
             () = write => {}
             () = read => {}
+            () = end.notified() => {}
         }
         self.writers.borrow_mut().remove(&id);
         self.act(|p, _, _| p.gone(id));
+        if let Some(purges) = &self.purges {
+            purges.gone(self.now(), id);
+        }
+        self.answered.notify_one();
+    }
+
+    fn heard(&self, id: Id, frame: FromProxy) {
+        let away = self.purges.as_ref().is_some_and(|purges| purges.hear(self.now(), id, &frame));
+        let answers = matches!(frame, FromProxy::Taken { .. } | FromProxy::Refused { .. });
+        self.act(|p, now, out| p.frame(now, id, frame, out));
+        if answers {
+            self.answered.notify_one();
+        }
+        if away {
+            self.let_go(id);
+        }
     }
 
     /// Takes operators' calls, one a connection, for good.
@@ -172,6 +256,13 @@
 
     async fn operator(&self, mut stream: TcpStream) -> std::io::Result<()> {
         let answer = match receive::<FromOperator>(&mut stream).await? {
+            Ok(FromOperator::Purge { publisher, sequence, keys }) => {
+                let taker = self.taker.borrow().clone();
+                match taker {
+                    Some(taker) => taker.take(publisher, sequence, &keys).await,
+                    None => no("this service takes no purges: it was not started with --purges"),
+                }
+            }
             Ok(call) => self.call(call),
             Err(malformed) => ToOperator::No { why: malformed.to_string() },
         };
@@ -185,6 +276,11 @@
             Err(why) => ToOperator::No { why },
         };
         match call {
+            FromOperator::Publish { .. } | FromOperator::RollBack { .. } | FromOperator::Halt { .. }
+                if self.relays =>
+            {
+                no("this is a relay: versions are published at the service that it follows")
+            }
             FromOperator::Publish { body, plan } => told(self.publish(body, plan)),
             FromOperator::RollBack { to, plan } => {
                 let stamp = self.act(|p, now, out| p.roll_back(now, to, plan, out));
@@ -196,9 +292,11 @@
                 self.status()
             }
             FromOperator::Status => self.status(),
-            FromOperator::Purge { .. } | FromOperator::Purges => {
-                ToOperator::No { why: "this service takes no purges".into() }
-            }
+            FromOperator::Purges => match &self.purges {
+                Some(purges) => purges.told(),
+                None => no("this service passes no purges on"),
+            },
+            FromOperator::Purge { .. } => no("purges wait for their numbers, and are taken apart from this"),
         }
     }
 
@@ -211,6 +309,10 @@
     }
 }
 
+fn no(why: &str) -> ToOperator {
+    ToOperator::No { why: why.to_owned() }
+}
+
 /// Reads one message; an error of the wire is the outer one.
 async fn receive<T: serde::de::DeserializeOwned>(
     stream: &mut TcpStream,
