--- a/crates/control/tests/fanout/leaf.rs
+++ b/crates/control/tests/fanout/leaf.rs
@@ -13,6 +13,7 @@
 use std::time::{Duration, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
+static BOOTS: AtomicU64 = AtomicU64::new(1);
 const LOOK: Duration = Duration::from_millis(20);
 const ALIVE: Duration = Duration::from_secs(4);
 
@@ -30,6 +31,7 @@
     /// It says nothing of what it has done while this is so.
     pub mute: AtomicBool,
     refuses: bool,
+    boot: u64,
     end: AtomicBool,
     start: Instant,
 }
@@ -97,6 +99,7 @@
             stands_still: AtomicBool::new(false),
             mute: AtomicBool::new(false),
             refuses,
+            boot: BOOTS.fetch_add(1, Ordering::Relaxed),
             end: AtomicBool::new(false),
             start: Instant::now(),
         });
@@ -135,7 +138,7 @@
     let hello = FromProxy::Hello {
         protocol: PROTOCOL,
         instance: name.into(),
-        boot: 1,
+        boot: leaf.boot,
         labels: BTreeMap::new(),
         frame_most: FRAME_MOST,
         running: None,
--- a/crates/control/tests/fanout/tree.rs
+++ b/crates/control/tests/fanout/tree.rs
@@ -84,12 +84,6 @@
         self.child.wait().expect("ended");
     }
 
-    /// Has it stand still, or go on: a signal by its name.
-    pub fn signal(&self, signal: nix::sys::signal::Signal) {
-        let pid = nix::unistd::Pid::from_raw(i32::try_from(self.child.id()).expect("a number"));
-        nix::sys::signal::kill(pid, signal).expect("told");
-    }
-
     /// Whether it has said this.
     pub fn said(&self, what: &str) -> bool {
         self.said.lock().expect("whole").iter().any(|line| line.contains(what))
