Hold the fan-out against any order of losses, and count who has just come as lacking

A property test plays a root, relays and leaves under random cuts, losses, duplicates, restarts and lost logs: who claims to stand at N has dropped each through N or everything; done with nobody lacking is told only when all who claim to be fresh have it; mended, everybody has everything. It found a fault: a relay that came back upstream counted as done through what its hello said, before it told who below it lacked something. Now whoever has said hello counts as lacking until it has said how far it is, which a leaf does right after its hello too. relay.rs is cut into three files.

--- a/crates/control/tests/fanout/leaf.rs
+++ b/crates/control/tests/fanout/leaf.rs
@@ -144,7 +144,16 @@
         running: None,
         purges: Some(leaf.progress()),
     };
-    say(stream, &hello)
+    say(stream, &hello)?;
+    purged(leaf, stream)
+}
+
+fn purged(leaf: &Seen, stream: &mut TcpStream) -> std::io::Result<()> {
+    if leaf.mute.load(Ordering::Relaxed) {
+        return Ok(());
+    }
+    let Progress { epoch, through } = leaf.progress();
+    say(stream, &FromProxy::Purged { epoch, through, lacking: 0, names: Vec::new() })
 }
 
 fn follow(leaf: &Seen, name: &str, mut stream: TcpStream) -> std::io::Result<()> {
@@ -208,9 +217,8 @@
                 FromService::Current { .. } | FromService::Alive => {}
             }
         }
-        let Progress { epoch, through } = leaf.progress();
-        if before != (Progress { epoch, through }) && !leaf.mute.load(Ordering::Relaxed) {
-            say(&mut stream, &FromProxy::Purged { epoch, through, lacking: 0, names: Vec::new() })?;
+        if before != leaf.progress() {
+            purged(leaf, &mut stream)?;
         }
     }
     Ok(())
--- a/crates/fanout/src/member.rs
+++ b/crates/fanout/src/member.rs
@@ -35,7 +35,8 @@
         Member { at, lease, renewed: None, asked: None }
     }
 
-    /// Through where it has done everything: for `hello` and `purged`.
+    /// Through where it has done everything: for `hello`, for the `purged` that follows each `hello`, and for one whenever
+    /// it has changed. Without the one after `hello` it counts as lacking.
     pub fn progress(&self) -> Progress {
         self.at
     }
--- a/crates/fanout/src/relay.rs
+++ b/crates/fanout/src/relay.rs
@@ -2,6 +2,8 @@
 //! root is one that numbers purges itself.
 
 mod below;
+mod bring;
+mod report;
 
 use crate::log::Log;
 use crate::{Nanos, Progress};
@@ -20,8 +22,6 @@
 const PACE: Nanos = SECOND / 100;
 /// Marks of how far the log was, over the time of grace.
 const MARKS: usize = 16;
-/// A name, with the relays that it came through, is at most this long, in bytes.
-const NAME_MOST: usize = 256;
 
 /// Times and bounds of a relay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -304,7 +304,8 @@
         self.report_at = now;
     }
 
-    /// One below has said hello and takes purges; again on the same connection, where something is missing there.
+    /// One below has said hello and takes purges; again on the same connection, where something is missing there. It
+    /// counts as lacking until it has said how far it is ([`Self::purged`]), too.
     /// `most`: it reads frames of so many entries. False where there are too many already: it is to be let go.
     pub fn joined(&mut self, now: Nanos, id: Id, who: (&str, u64), at: Progress, most: usize) -> bool {
         let (name, boot) = who;
@@ -316,13 +317,13 @@
         }
         let absent = self.absent.remove(name).map(|absent| absent.lacking);
         let mut lacking = old.map(|old| old.lacking).or(absent).unwrap_or_default();
-        let mut done = at;
+        let (mut done, mut told) = (at, false);
         if let Some(again) = self.below.get(&id) {
             // Danger: a relay that goes back to fetch what one below it lacks has still done what it said.
             if again.done.epoch == at.epoch {
                 done.through = done.through.max(again.done.through);
             }
-            lacking = again.lacking.clone();
+            (lacking, told) = (again.lacking.clone(), again.told);
         }
         let frame = self.settings.frame.min(most).max(1);
         let below = Below {
@@ -330,6 +331,7 @@
             boot,
             at,
             done,
+            told,
             sent: None,
             flush: None,
             heard: now,
@@ -376,7 +378,7 @@
         if (at.epoch, at.through) >= (b.done.epoch, b.done.through) {
             b.done = at;
             named.truncate(names);
-            b.lacking = (lacking, named);
+            (b.lacking, b.told) = ((lacking, named), true);
             self.changed = true;
         }
         if b.sent.is_some_and(|sent| sent < self.log.newest()) {
@@ -440,138 +442,6 @@
         }
         self.report(now, actions);
     }
-
-    fn let_go(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        let (epoch, newest, stuck) = (self.log.epoch(), self.log.newest(), self.settings.stuck);
-        for (id, b) in &mut self.below {
-            let owes =
-                b.sent.is_some_and(|sent| !b.done_through(Progress { epoch, through: sent.min(newest) }));
-            if !owes {
-                b.heard = now;
-            } else if now.saturating_sub(b.heard) >= stuck {
-                b.heard = now;
-                actions.push(Action::LetGo(*id, format!("{} has not taken purges for too long", b.named())));
-            }
-        }
-    }
-
-    /// Sends everybody what is due.
-    fn bring(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        let (at, window) = (self.log.at(), self.settings.window as u64);
-        let renewed = std::mem::take(&mut self.renewed);
-        // Those who get the same get it encoded once: after which number, how many.
-        let mut groups: BTreeMap<(u64, u64), Vec<Id>> = BTreeMap::new();
-        let mut current = Vec::new();
-        let mut again: Option<Nanos> = None;
-        let later = now.saturating_add(self.settings.batch.max(PACE));
-        let mut ids: Vec<Id> = self.below.keys().copied().collect();
-        ids.sort_unstable();
-        for id in ids {
-            let Some(b) = self.below.get_mut(&id) else { continue };
-            if let Some(due) = b.flush {
-                if due > now {
-                    again = Some(again.map_or(due, |again| again.min(due)));
-                    continue;
-                }
-                (b.flush, b.sent, b.at) = (None, Some(at.through), at);
-                actions.push(Action::Flush { to: id, at });
-            }
-            let Some(mut sent) = b.sent else { continue };
-            let done = if b.done.epoch == at.epoch { b.done.through } else { sent };
-            let open = window.saturating_sub(sent.saturating_sub(done));
-            // Danger: a log that is replayed all at once fills the queue of its connection, and that is let go.
-            let mut left = open.min(2 * b.frame as u64).min(at.through.saturating_sub(sent));
-            while left > 0 {
-                let count = left.min(b.frame as u64);
-                groups.entry((sent, count)).or_default().push(id);
-                (sent, left) = (sent + count, left - count);
-            }
-            b.sent = Some(sent);
-            if sent < at.through && open > 0 {
-                again = Some(again.map_or(later, |again| again.min(later)));
-            }
-            if sent == at.through {
-                current.push(id);
-            }
-        }
-        let epoch = at.epoch;
-        for ((after, count), to) in groups {
-            // What is sent was found in the log when its receiver was aligned; a log that moved on aligns again.
-            match self.log.after(after, count as usize) {
-                Ok(keys) => actions.push(Action::Purges { to, epoch, after, keys }),
-                Err(_) => to.into_iter().for_each(|id| self.fallen_behind(now, id, after)),
-            }
-        }
-        if renewed && !current.is_empty() {
-            actions.push(Action::Purges { to: current, epoch, after: at.through, keys: Vec::new() });
-        }
-        if let Some(again) = again {
-            self.due = Some(self.due.map_or(again, |due| due.min(again)));
-        }
-    }
-
-    /// The log went past what one below lacks.
-    fn fallen_behind(&mut self, now: Nanos, id: Id, after: u64) {
-        let epoch = self.log.epoch();
-        if let Some(b) = self.below.get_mut(&id) {
-            (b.at, b.sent) = (Progress { epoch, through: after }, None);
-        }
-        self.align(now, id);
-    }
-
-    fn report(&mut self, now: Nanos, actions: &mut Vec<Action>) {
-        let settles =
-            now.saturating_sub(self.started) < self.settings.lease.saturating_add(self.settings.grace);
-        self.absent.retain(|_, a| now.saturating_sub(a.since) < self.settings.forget);
-        if now < self.report_at {
-            return;
-        }
-        let expected = self.expected(now);
-        let stands = self.log.at();
-        // Danger: after a relay has gone back to fetch something, what it told before is still so.
-        let mut through = stands.through;
-        for b in self.below.values().filter(|b| b.done.epoch == stands.epoch) {
-            if b.done.through >= expected {
-                through = through.min(b.done.through);
-            }
-        }
-        let through = through.max(self.reported.at.through);
-        let mut report = Report { at: Progress { epoch: stands.epoch, through }, ..Report::default() };
-        if settles {
-            report.lacking = 1;
-            report.names.push(format!("{}@started", self.name));
-        }
-        let mut found: Vec<(u64, &[String], Option<String>)> = Vec::new();
-        for b in self.below.values() {
-            let lacks = !b.done_through(report.at);
-            found.push((b.lacking.0, &b.lacking.1, lacks.then(|| b.named())));
-        }
-        for (name, a) in &self.absent {
-            let lacks = (a.done.epoch, a.done.through) < (report.at.epoch, report.at.through);
-            let named = format!("{name}@{}", a.done.through);
-            found.push((a.lacking.0, &a.lacking.1, lacks.then_some(named)));
-        }
-        found.retain(|(lacking, _, own)| *lacking > 0 || own.is_some());
-        found.sort_by(|a, b| (&a.2, a.1).cmp(&(&b.2, b.1)));
-        for (lacking, names, own) in found {
-            report.lacking = report.lacking.saturating_add(lacking).saturating_add(u64::from(own.is_some()));
-            let room = self.settings.names.saturating_sub(report.names.len());
-            report.names.extend(own.iter().chain(names).take(room).map(|name| self.placed(name)));
-        }
-        self.changed = false;
-        self.report_at = now.saturating_add(self.settings.report);
-        if report != self.reported || std::mem::take(&mut self.tell) {
-            self.reported = report.clone();
-            actions.push(Action::Report(report));
-        }
-    }
-
-    /// A name as upstream knows it.
-    fn placed(&self, name: &str) -> String {
-        let placed = if self.root { name.to_owned() } else { format!("{}/{name}", self.name) };
-        let end = (0..=NAME_MOST.min(placed.len())).rev().find(|n| placed.is_char_boundary(*n)).unwrap_or(0);
-        placed[..end].to_owned()
-    }
 }
 
 /// When, of this time, the one of this name is flushed.
--- a/crates/fanout/src/relay/below.rs
+++ b/crates/fanout/src/relay/below.rs
@@ -12,6 +12,9 @@
     pub at: Progress,
     /// What it said is done.
     pub done: Progress,
+    /// It has said so on this connection. Danger: a relay's hello says nothing of those below it that lack something, so
+    /// that one that has just come counts as lacking until it has told how far they are.
+    pub told: bool,
     /// Through where the log was sent; none: it was not found yet where it joins.
     pub sent: Option<u64>,
     /// When it is told to drop everything.
