Measure in the rig how long proxies that start again take until they are ready

A thread beside it now looks at each that was started again, every 25 ms from before its start until /_health answers 200, and outcome.json and the table tell half, nine in ten and all. One that never gets ready counts as the last, one that the rig ends again does not count.

--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -6,6 +6,7 @@
 //! - [`plan`]: an experiment's file and the schedule that a seed makes of it.
 //! - [`play`]: one experiment from start to end.
 //! - [`procs`]: the real proxies, signalled and started again.
+//! - [`ready`]: how long proxies that were started again take until they are ready.
 //! - [`relay`]: a relay on one link.
 //! - [`report`]: what came of an experiment, as a page with plots.
 
@@ -14,6 +15,7 @@
 pub mod plan;
 pub mod play;
 pub mod procs;
+pub mod ready;
 pub mod relay;
 pub mod report;
 
--- a/crates/lab/src/rig/play.rs
+++ b/crates/lab/src/rig/play.rs
@@ -4,6 +4,7 @@
 use super::mesh::{Mesh, Totals};
 use super::plan::{Action, Do, Plan, Schedule};
 use super::procs::Procs;
+use super::ready::{Readiness, Watch};
 use crate::audit::{self, Evidence, Recorder, Seen, Verdict};
 use crate::clock::{Clock, MS};
 use crate::day::{proxy_config, Day};
@@ -54,6 +55,8 @@
     pub crashes: Vec<String>,
     /// Processes that each proxy had.
     pub starts: Vec<u32>,
+    /// How long those that were started again took until they were ready.
+    pub restarted: Readiness,
     /// The audit.
     pub verdict: Verdict,
 }
@@ -126,6 +129,7 @@
     let addrs: Vec<_> = (0..procs.len()).filter_map(|me| procs.addr(me)).collect();
     let front = Arc::new(Front::new(&addrs, day.site.proxy.notice));
     until_well(&addrs).await?;
+    let watch = Watch::start().map_err(|e| format!("watch: {e}"))?;
     let note = move |seen| {
         // An auditor that has ended wants no more.
         let _ = own_out.send(vec![Evidence { at: clock.now(), seen }]);
@@ -168,6 +172,9 @@
                         note(Seen::Struck { proxy: *me, until: back });
                     }
                     let struck = procs.signal(*me, *action);
+                    if struck && *action != Action::Pause {
+                        watch.ended(*me).await;
+                    }
                     if struck && *action == Action::Kill {
                         front.looked(*me, Health::Dead);
                     }
@@ -180,14 +187,15 @@
                     procs.resume(*me);
                     format!("proxy {me} resumed")
                 }
-                Do::Start(me, state) => match procs.restart(*me, *state) {
-                    Ok(Some(addr)) => {
+                Do::Start(me, state) => match (Instant::now(), procs.restart(*me, *state)) {
+                    (since, Ok(Some(addr))) => {
+                        watch.started(*me, addr, since).await;
                         front.moved(*me, addr);
                         note(Seen::Started { proxy: *me });
                         format!("proxy {me} started again at {addr}, state {state:?}")
                     }
-                    Ok(None) => format!("proxy {me} was not down"),
-                    Err(why) => {
+                    (_, Ok(None)) => format!("proxy {me} was not down"),
+                    (_, Err(why)) => {
                         crashes.push(why);
                         note(Seen::Crashed { proxy: *me });
                         format!("proxy {me} did not start again")
@@ -212,6 +220,7 @@
         }
     }
     let tally = load.finish();
+    let restarted = watch.finish()?;
     procs.end(Duration::from_secs(3));
     let starts = procs.starts();
     drop(procs);
@@ -245,6 +254,7 @@
         done,
         crashes,
         starts,
+        restarted,
         verdict,
     })
 }
@@ -343,6 +353,18 @@
             met.turned.iter().sum::<u64>()
         );
     }
+    let r = &outcome.restarted;
+    if r.ready + r.unready > 0 {
+        let seconds = |time: Option<f64>| time.map_or("not".to_owned(), |s| format!("{s:.3} s"));
+        text += &format!(
+            "started again: {} ready, {} not; half within {}, nine in ten within {}, all within {}\n",
+            r.ready,
+            r.unready,
+            seconds(r.p50_s),
+            seconds(r.p90_s),
+            seconds(r.most_s)
+        );
+    }
     match steady_after(outcome) {
         Some(s) => text += &format!("steady service (95% served in time) from second {s} of the load on\n"),
         None => text += "no steady service (95% served in time) by the end\n",
--- a/crates/lab/src/rig/tests.rs
+++ b/crates/lab/src/rig/tests.rs
@@ -1,6 +1,7 @@
 //! The relay is on the path: each fault changes what passes, and nothing else does.
 
 use super::board::{Active, Board, Fault, Group, Party};
+use super::ready::Readiness;
 use super::relay::{self, Counts, Link, Relay};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
@@ -183,3 +184,17 @@
     println!("median round trip: {straight:?} straight, {through:?} through a relay");
     assert!(through < straight + Duration::from_millis(1), "{straight:?} and {through:?}");
 }
+
+/// Danger: what never got ready would not show in the times of those that did.
+#[test]
+fn those_that_never_got_ready_count_as_the_last() {
+    let times = |n: u32| (1..=n).rev().map(f64::from).collect::<Vec<_>>();
+    let all = Readiness::of(times(10), 0);
+    assert_eq!((all.p50_s, all.p90_s, all.most_s), (Some(5.0), Some(9.0), Some(10.0)));
+    let one_not = Readiness::of(times(9), 1);
+    assert_eq!((one_not.ready, one_not.unready), (9, 1));
+    assert_eq!((one_not.p50_s, one_not.p90_s, one_not.most_s), (Some(5.0), Some(9.0), None));
+    let two_not = Readiness::of(times(8), 2);
+    assert_eq!((two_not.p90_s, two_not.most_s), (None, None));
+    assert_eq!(Readiness::of(Vec::new(), 0), Readiness::default());
+}
--- a/crates/lab/tests/rig.rs
+++ b/crates/lab/tests/rig.rs
@@ -79,6 +79,37 @@
     assert!(outcome.list_asks.iter().zip(&outcome.list_refused).all(|(a, r)| a - r <= 3), "{table}");
 }
 
+const ALL_KILLED: &str = r#"
+day = "quiet"
+proxies = 8
+length = "8s"
+
+[[process]]
+at = "2s"
+action = "kill"
+proxies = ["proxies"]
+for = "500ms"
+"#;
+
+#[test]
+fn proxies_that_are_all_killed_and_started_again_at_once_are_ready_in_time() {
+    let plan = Plan::parse("all-killed", ALL_KILLED).expect("a sound plan");
+    let day = day_of(&plan, None).expect("its day");
+    let folder = tempfile::tempdir().expect("a folder");
+    let program = Program::new(find_proxy(None).expect("the proxy"));
+    let outcome = play::run(&plan, &day, program, 1, folder.path(), &AtomicBool::new(false)).expect("played");
+    let table = play::table(&outcome);
+    assert!(outcome.clean(), "{table}");
+    let restarted = &outcome.restarted;
+    assert_eq!((restarted.ready, restarted.unready), (8, 0), "{table}");
+    let (half, nine_in_ten, most) = (restarted.p50_s, restarted.p90_s, restarted.most_s);
+    assert!(half.is_some() && half <= nine_in_ten && nine_in_ten <= most, "{table}");
+    assert!(nine_in_ten.is_some_and(|s| s > 0.0 && s < 10.0), "{table}");
+    let told = serde_json::to_value(&outcome).expect("JSON");
+    assert_eq!(told["restarted"]["p90_s"].as_f64(), nine_in_ten, "{told}");
+    assert!(table.contains("started again: 8 ready, 0 not"), "{table}");
+}
+
 fn alive(pid: u32) -> bool {
     // A process that is gone, or dead and not yet reaped, is not alive.
     std::fs::read_to_string(format!("/proc/{pid}/stat")).is_ok_and(|stat| {
