--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -273,10 +273,11 @@
             if !self.ended().await && !self.crammed() {
                 continue;
             }
+            let again = self.asked.get().is_some();
             if !self.ask(word) {
                 return;
             }
-            if word == Word::Begin {
+            if again && word == Word::Begin {
                 gap *= 2;
             }
         }
