Leave nothing of callers that gave up while a partition held their connections

Cause: the rig's relay takes a connection in a partition at once and kept what was written to it; when the partition ended, calls given up meanwhile reached their target all together, though over a real link no handshake had come about. Change: a connection that its caller has closed by the end of the silence goes no further, and is counted.

--- a/crates/lab/src/rig/relay.rs
+++ b/crates/lab/src/rig/relay.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::Handle;
@@ -36,6 +36,8 @@
     pub reset: AtomicU64,
     /// Held silent for a while, or for good.
     pub held: AtomicU64,
+    /// Of those, given up by their callers before the silence ended: nothing of them reaches the target.
+    pub given_up: AtomicU64,
     /// Whose target could not be reached.
     pub unreached: AtomicU64,
     /// Bytes carried toward the target, and back.
@@ -113,6 +115,12 @@
     Ok(Relay { addr, counts })
 }
 
+/// Whether a caller has closed its connection by now.
+async fn given_up(stream: &TcpStream) -> bool {
+    let writable = stream.ready(Interest::READABLE | Interest::WRITABLE).await;
+    writable.is_ok_and(|ready| ready.is_read_closed() || ready.is_write_closed())
+}
+
 fn reset(stream: &TcpStream) {
     // A socket that is gone already needs no reset.
     let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
@@ -145,6 +153,12 @@
         if faults.wait_for(|f| !f.effect(link.from, link.to).silent).await.is_err() {
             return;
         }
+        // Danger: what its caller wrote to the relay and gave up meanwhile would reach the target all at once, though
+        // over a real link no handshake had come about and nothing had been written.
+        if given_up(&down).await {
+            Counts::add(&counts.given_up, 1);
+            return;
+        }
     }
     let first = effect(&faults);
     if first.resets(born) {
--- a/crates/lab/src/rig/tests.rs
+++ b/crates/lab/src/rig/tests.rs
@@ -95,6 +95,48 @@
     assert_eq!(Counts::get(&relay.counts.held), 2);
 }
 
+/// A far end that counts the connections that it takes and reads them to their ends.
+async fn counting() -> (SocketAddr, std::sync::Arc<std::sync::atomic::AtomicU64>) {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await.unwrap();
+    let (addr, taken) =
+        (listener.local_addr().unwrap(), std::sync::Arc::<std::sync::atomic::AtomicU64>::default());
+    let count = taken.clone();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            count.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+            tokio::spawn(async move {
+                let (mut read, mut write) = stream.split();
+                let _ = tokio::io::copy(&mut read, &mut write).await;
+            });
+        }
+    });
+    (addr, taken)
+}
+
+/// Danger: over a real link no handshake comes about in a partition, so that callers that gave up leave nothing behind.
+#[tokio::test]
+async fn callers_that_gave_up_in_a_partition_do_not_reach_the_target_when_it_heals() {
+    let board = Board::default();
+    let (target, taken) = counting().await;
+    let link = Link { from: Party::Proxy(0), to: Party::Discovery, target };
+    let relay = relay::open(&tokio::runtime::Handle::current(), link, board.watch(), 7).unwrap();
+    board.strike(fault(1, Fault::Partition));
+    for resets in [false, true] {
+        let mut gave_up = TcpStream::connect(relay.addr).await.unwrap();
+        gave_up.write_all(b"asked").await.unwrap();
+        if resets {
+            socket2::SockRef::from(&gave_up).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+    }
+    let mut waits = TcpStream::connect(relay.addr).await.unwrap();
+    assert!(round(&mut waits, 100, Duration::from_millis(200)).await.is_err());
+    board.lift(1);
+    let mut back = vec![0; 100];
+    timeout(Duration::from_secs(2), waits.read_exact(&mut back)).await.expect("in time").expect("answered");
+    assert_eq!(taken.load(std::sync::atomic::Ordering::Relaxed), 1);
+    assert_eq!(Counts::get(&relay.counts.given_up), 2);
+}
+
 #[tokio::test]
 async fn drops_resets_and_cuts_end_connections_each_in_its_way() {
     let board = Board::default();
