--- a/crates/control/src/client.rs
+++ b/crates/control/src/client.rs
@@ -176,6 +176,9 @@
                         (wire.number, services[service % services.len()], tell.clone());
                     let task = tokio::task::spawn_local(async move {
                         let stream = TcpStream::connect(addr).await.ok();
+                        // Danger: a short frame would wait for the acknowledgement of the one before it, at each relay
+                        // on the way. It only costs time where it fails.
+                        let _ = stream.as_ref().map(|stream| stream.set_nodelay(true));
                         // The receiver is gone only with the proxy.
                         let _ = tell.send((number, Came::Connected(stream))).await;
                     });
--- a/crates/control/src/service.rs
+++ b/crates/control/src/service.rs
@@ -189,9 +189,15 @@
         let _ = stream.set_nodelay(true);
         let (mut reads, mut writes) = stream.into_split();
         let write = async {
-            while let Some(outgoing) = waiting.recv().await {
-                let written = timeout(TAKES_WITHIN, writes.write_all(&outgoing.bytes)).await;
-                if !matches!(written, Ok(Ok(()))) || outgoing.last {
+            while let Some(Outgoing { mut bytes, mut last, .. }) = waiting.recv().await {
+                // Short frames that wait together go as one segment: headers would be half of what they take.
+                while let Some(next) =
+                    (!last && bytes.len() < PART).then(|| waiting.try_recv().ok()).flatten()
+                {
+                    (bytes, last) = ([&bytes[..], &next.bytes[..]].concat().into(), next.last);
+                }
+                let written = timeout(TAKES_WITHIN, writes.write_all(&bytes)).await;
+                if !matches!(written, Ok(Ok(()))) || last {
                     return;
                 }
             }
--- a/crates/control/tests/fanout/leaf.rs
+++ b/crates/control/tests/fanout/leaf.rs
@@ -25,7 +25,11 @@
     pub dropped: AtomicU64,
     pub flushed: AtomicU64,
     pub taken: Mutex<Option<Stamp>>,
+    /// Bytes that came and were said, reads that had some, and times that something was said.
     pub came: AtomicU64,
+    pub said: AtomicU64,
+    pub reads: AtomicU64,
+    pub writes: AtomicU64,
     /// It reads nothing while this is so.
     pub stands_still: AtomicBool,
     /// It says nothing of what it has done while this is so.
@@ -96,6 +100,9 @@
             flushed: AtomicU64::new(0),
             taken: Mutex::default(),
             came: AtomicU64::new(0),
+            said: AtomicU64::new(0),
+            reads: AtomicU64::new(0),
+            writes: AtomicU64::new(0),
             stands_still: AtomicBool::new(false),
             mute: AtomicBool::new(false),
             refuses,
@@ -129,8 +136,10 @@
     }
 }
 
-fn say(stream: &mut TcpStream, frame: &FromProxy) -> std::io::Result<()> {
+fn say(leaf: &Seen, stream: &mut TcpStream, frame: &FromProxy) -> std::io::Result<()> {
     let bytes = encode(frame).map_err(|e| std::io::Error::other(e.to_string()))?;
+    leaf.said.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+    leaf.writes.fetch_add(1, Ordering::Relaxed);
     stream.write_all(&bytes)
 }
 
@@ -144,7 +153,7 @@
         running: None,
         purges: Some(leaf.progress()),
     };
-    say(stream, &hello)?;
+    say(leaf, stream, &hello)?;
     purged(leaf, stream)
 }
 
@@ -153,7 +162,7 @@
         return Ok(());
     }
     let Progress { epoch, through } = leaf.progress();
-    say(stream, &FromProxy::Purged { epoch, through, lacking: 0, names: Vec::new() })
+    say(leaf, stream, &FromProxy::Purged { epoch, through, lacking: 0, names: Vec::new() })
 }
 
 fn follow(leaf: &Seen, name: &str, mut stream: TcpStream) -> std::io::Result<()> {
@@ -168,12 +177,13 @@
         }
         if said.elapsed() > ALIVE {
             said = Instant::now();
-            say(&mut stream, &FromProxy::Alive)?;
+            say(leaf, &mut stream, &FromProxy::Alive)?;
         }
         match stream.read(&mut part) {
             Ok(0) => return Ok(()),
             Ok(n) => {
                 leaf.came.fetch_add(n as u64, Ordering::Relaxed);
+                leaf.reads.fetch_add(1, Ordering::Relaxed);
                 came.extend_from_slice(&part[..n]);
             }
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
@@ -207,11 +217,11 @@
                     }
                 }
                 FromService::Full { stamp, .. } | FromService::Delta { stamp, .. } if leaf.refuses => {
-                    say(&mut stream, &FromProxy::Refused { stamp, reasons: vec!["not here".into()] })?;
+                    say(leaf, &mut stream, &FromProxy::Refused { stamp, reasons: vec!["not here".into()] })?;
                 }
                 FromService::Full { stamp, .. } | FromService::Delta { stamp, .. } => {
                     *leaf.taken.lock().expect("whole") = Some(stamp);
-                    say(&mut stream, &FromProxy::Taken { stamp })?;
+                    say(leaf, &mut stream, &FromProxy::Taken { stamp })?;
                 }
                 FromService::Goodbye { .. } => return Ok(()),
                 FromService::Current { .. } | FromService::Alive => {}
--- a/crates/control/tests/fanout/main.rs
+++ b/crates/control/tests/fanout/main.rs
@@ -3,6 +3,7 @@
 mod hard;
 mod leaf;
 mod path;
+mod rate;
 mod roots;
 mod tree;
 mod wire;
--- a/crates/control/tests/fanout/path.rs
+++ b/crates/control/tests/fanout/path.rs
@@ -63,16 +63,18 @@
         Ok(ToOperator::Status { proxies, .. }) => proxies.into_iter().next(),
         other => panic!("{other:?}"),
     };
+    let below = |count: usize| match site.call(&FromOperator::Status) {
+        Ok(ToOperator::Status { proxies, .. }) => proxies.len() == count,
+        other => panic!("{other:?}"),
+    };
+    until("both are there, and the relays", || below(2) && row().is_some());
     for n in 0..3 {
         let stamp = publish(n);
         until("taken by the whole subtree", || row().is_some_and(|row| row.running == Some(stamp)));
         assert!(leaves.iter().all(|leaf| *leaf.taken.lock().expect("whole") == Some(stamp)));
     }
     let _refusing = Leaf::with("c", &[site.proxies], LEASE, true);
-    until("c is there", || match site.call(&FromOperator::Status) {
-        Ok(ToOperator::Status { proxies, .. }) => proxies.len() == 3,
-        other => panic!("{other:?}"),
-    });
+    until("c is there", || below(3));
     let stamp = publish(9);
     until("refused", || row().is_some_and(|row| row.refused.is_some()));
     let (refused, reasons) = row().and_then(|row| row.refused).expect("refused");
--- a/crates/fanout/src/relay.rs
+++ b/crates/fanout/src/relay.rs
@@ -378,6 +378,7 @@
         if (at.epoch, at.through) >= (b.done.epoch, b.done.through) {
             b.done = at;
             named.truncate(names);
+            named.iter_mut().for_each(report::shorten);
             (b.lacking, b.told) = ((lacking, named), true);
             self.changed = true;
         }
--- a/crates/fanout/src/relay/report.rs
+++ b/crates/fanout/src/relay/report.rs
@@ -56,8 +56,14 @@
 
     /// A name as upstream knows it.
     fn placed(&self, name: &str) -> String {
-        let placed = if self.root { name.to_owned() } else { format!("{}/{name}", self.name) };
-        let end = (0..=NAME_MOST.min(placed.len())).rev().find(|n| placed.is_char_boundary(*n)).unwrap_or(0);
-        placed[..end].to_owned()
+        let mut placed = if self.root { name.to_owned() } else { format!("{}/{name}", self.name) };
+        shorten(&mut placed);
+        placed
     }
 }
+
+/// Cuts a name that is too long.
+pub(super) fn shorten(name: &mut String) {
+    let end = (0..=NAME_MOST.min(name.len())).rev().find(|n| name.is_char_boundary(*n)).unwrap_or(0);
+    name.truncate(end);
+}
--- a/crates/fanout/src/relay/tests.rs
+++ b/crates/fanout/src/relay/tests.rs
@@ -169,6 +169,26 @@
     assert_eq!(flushes, 2);
 }
 
+#[test]
+fn a_name_that_is_too_long_is_cut_where_a_letter_ends() {
+    let mut relay = root(10);
+    relay.joined(0, 1, ("a", 1), at(0), 100);
+    relay.purged(1, 1, Report { at: at(0), lacking: 1, names: vec!["é".repeat(10_000)] });
+    tick(&mut relay, 20 * SECOND);
+    assert_eq!(relay.reported().names, ["é".repeat(128)]);
+}
+
+#[test]
+fn who_has_said_hello_and_not_how_far_it_is_counts_as_lacking() {
+    let mut relay = root(10);
+    relay.joined(0, 1, ("a", 1), at(0), 100);
+    tick(&mut relay, 20 * SECOND);
+    assert_eq!(relay.reported().names, ["a@0"]);
+    done(&mut relay, 21 * SECOND, 1, 0);
+    tick(&mut relay, 22 * SECOND);
+    assert_eq!(relay.reported().lacking, 0);
+}
+
 #[test]
 fn names_are_bounded_and_the_rest_is_counted() {
     let mut relay = Relay::new("site", Settings { names: 3, ..settings() }, 1000, 0);
