Show that a proxy follows a relay as it follows a service

Need: relays are of use only if proxies of today follow them unchanged. A relay can be hosted in a test as a service can; a real proxy behind one takes versions under the root's stamps, and its refusal is named at the root.

--- a/crates/control/src/hosted.rs
+++ b/crates/control/src/hosted.rs
@@ -1,9 +1,11 @@
 //! A service on a thread of its own, told from others what to publish: for measurements and for tests of proxies.
 
 use crate::publisher::{Publisher, Row};
+use crate::relay::{self, Relaying};
 use crate::rollout::Plan;
 use crate::service::Service;
 use crate::version::Stamp;
+use aniseyoke_fanout::Settings;
 use nix::sys::resource::{getrusage, UsageWho};
 use nix::sys::time::TimeValLike;
 use serde_json::Value;
@@ -38,6 +40,24 @@
     /// # Errors
     /// If the system lacks threads, descriptors or ports.
     pub fn start(epoch: u64) -> io::Result<Self> {
+        Self::of(move || Service::new(Publisher::new(epoch)))
+    }
+
+    /// Starts a relay that follows these, on any free port of loopback. It publishes nothing.
+    ///
+    /// # Errors
+    /// If the system lacks threads, descriptors or ports.
+    pub fn relay(name: &str, upstream: Vec<SocketAddr>) -> io::Result<Self> {
+        let (settings, entries, say) = (Settings::default(), 1024, |_: &str| ());
+        let relaying = Relaying { name: name.to_owned(), upstream, settings, entries, boot: 1, say };
+        Self::of(move || {
+            let (service, follows) = relay::parts(relaying);
+            tokio::task::spawn_local(follows);
+            service
+        })
+    }
+
+    fn of(service: impl FnOnce() -> Rc<Service> + Send + 'static) -> io::Result<Self> {
         let (found, addr) = channel();
         let (orders, ordered) = mpsc::unbounded_channel();
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -52,7 +72,7 @@
                 // Who starts it waits for this.
                 let _ = found.send(addr);
                 if let Some(listener) = listener {
-                    obey(Service::new(Publisher::new(epoch)), listener, ordered).await;
+                    obey(service(), listener, ordered).await;
                 }
             });
         };
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -13,6 +13,7 @@
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -86,17 +87,24 @@
 
 /// Relays, for good; operators ask at `door`, where there is one.
 pub async fn relay(relaying: Relaying, proxies: TcpListener, door: Option<TcpListener>) -> Infallible {
-    let Relaying { name, upstream, settings, entries, boot, say } = relaying;
-    let purges = Rc::new(Purges::relay(&name, settings, entries, say));
-    let service = Service::with(Publisher::new(0), Some(purges.clone()), true);
+    let (service, follows) = parts(relaying);
     tokio::task::spawn_local(service.clone().serve(proxies));
     if let Some(door) = door {
-        tokio::task::spawn_local(service.clone().hear(door));
+        tokio::task::spawn_local(service.hear(door));
     }
+    follows.await
+}
+
+/// A relay's service for those below, and what follows upstream for good.
+pub(crate) fn parts(relaying: Relaying) -> (Rc<Service>, impl Future<Output = Infallible>) {
+    let Relaying { name, upstream, settings, entries, boot, say } = relaying;
+    let purges = Rc::new(Purges::relay(&name, settings, entries, say));
+    let service = Service::with(Publisher::new(0), Some(purges.clone()), true);
     let identity = Identity { instance: name, boot, labels: BTreeMap::new(), frame_most: FRAME_MOST };
     let follower = Follower::new(identity, upstream.len(), None, Times::default(), boot);
-    let below = Below { service, purges, say, newer: Notify::new(), superseded: Cell::new(false) };
-    follow(follower, upstream, FRAME_MOST, below).await
+    let below =
+        Below { service: service.clone(), purges, say, newer: Notify::new(), superseded: Cell::new(false) };
+    (service, follow(follower, upstream, FRAME_MOST, below))
 }
 
 /// What is below a relay, to the follower that it is upstream.
--- a/crates/proxy/tests/versions.rs
+++ b/crates/proxy/tests/versions.rs
@@ -82,6 +82,24 @@
     json!({ "limits": { "node": { "floor": 1.0, "start": 1.0, "ceiling": 1.0 }, "queue": { "most": 0 } } })
 }
 
+#[test]
+fn a_proxy_follows_a_relay_as_it_follows_a_service() {
+    let (site, control) = (Site::new(), control(1));
+    let relay = Hosted::relay("site", vec![control.addr()]).expect("started");
+    let mut proxy = site.start(&[relay.addr]);
+    let door = proxy.door();
+    let first = control.publish(json!({}));
+    until("it came through the relay", || relay.rows().first().is_some_and(|r| r.running == Some(first)));
+    for body in [one_at_a_time(), json!({})] {
+        let stamp = control.publish(body);
+        control.runs(stamp);
+        assert_eq!(control.row().expect("the relay").instance, "site");
+        assert_eq!(version_at(door)["version"].as_str(), Some(stamp.to_string().as_str()));
+    }
+    let why = control.refusal(control.publish(json!({ "log": { "burst": 0 } })));
+    assert!(why.starts_with("p0: "), "{why}");
+}
+
 #[test]
 fn a_version_comes_into_force_while_requests_are_open_and_goes_again() {
     let (site, control) = (Site::new(), control(1));
