Measure what one more of everything costs, and work docs/CAPACITY.md out from it

aniseyoke-lab slopes measures real proxies and a real control service at several sizes, fits a line by least squares with its error and the power, and predicts the largest size, which the fit has not seen.

--- /dev/null
+++ b/crates/lab/src/capacity/page.rs
@@ -0,0 +1,46 @@
+//! Tables between markers in a text. No I/O.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+const BEGIN: &str = "<!-- table:";
+const BEGIN_END: &str = " -->";
+const END: &str = "<!-- end -->";
+
+/// The text with each table between its markers, `<!-- table:NAME -->` and `<!-- end -->` on lines of their own.
+///
+/// # Errors
+/// Names the line with a marker that is not closed or names no table, and a table that has no place.
+pub fn fill(text: &str, tables: &BTreeMap<String, String>) -> Result<String, String> {
+    let (mut out, mut placed, mut open) = (String::new(), BTreeSet::new(), None);
+    for (n, line) in text.lines().enumerate() {
+        let n = n + 1;
+        let begins = line.trim().strip_prefix(BEGIN).and_then(|rest| rest.strip_suffix(BEGIN_END));
+        if let Some(name) = begins {
+            if let Some(before) = open {
+                return Err(format!("line {n}: the table from line {before} is not closed"));
+            }
+            let table = tables.get(name).ok_or_else(|| format!("line {n}: there is no table {name}"))?;
+            if !placed.insert(name) {
+                return Err(format!("line {n}: the table {name} has two places"));
+            }
+            open = Some(n);
+            out.push_str(line);
+            out.push('\n');
+            out.push_str(table);
+        } else if line.trim() == END {
+            open.take().ok_or_else(|| format!("line {n}: no table is open"))?;
+            out.push_str(line);
+            out.push('\n');
+        } else if open.is_none() {
+            out.push_str(line);
+            out.push('\n');
+        }
+    }
+    if let Some(before) = open {
+        return Err(format!("line {before}: the table is not closed"));
+    }
+    match tables.keys().find(|name| !placed.contains(name.as_str())) {
+        Some(name) => Err(format!("the table {name} has no place")),
+        None => Ok(out),
+    }
+}
--- /dev/null
+++ b/crates/lab/src/capacity/tests.rs
@@ -0,0 +1,151 @@
+use super::*;
+use crate::slopes::{Fit, HeldOut};
+
+fn slope() -> Slope {
+    // 3 + 2x with an error, tried at 20.
+    let points = vec![(1.0, 5.1), (2.0, 6.9), (5.0, 13.1), (10.0, 22.9)];
+    let fit = Fit::new(&points).expect("a fit");
+    let said = fit.at(&points, 20.0);
+    Slope {
+        name: "role.cost.size".into(),
+        role: "role".into(),
+        quantity: "cost".into(),
+        unit: "s".into(),
+        against: "size".into(),
+        command: "c".into(),
+        shared: true,
+        points,
+        fit,
+        held_out: HeldOut { x: 20.0, measured: 43.5, predicted: said.value, predicted_se: said.se },
+    }
+}
+
+fn inputs() -> Inputs {
+    let target = [("size", 20.0), ("more", 40.0), ("rate", 66.0), ("most", 50.0)];
+    let run = r#"{"name":"r","plan":"p.toml","seed":3,"seconds":600,"figures":[{"name":"f","value":7,"unit":"s","limit":14}]}"#;
+    Inputs {
+        target: target.iter().map(|(name, value)| ((*name).to_owned(), *value)).collect(),
+        rows: Vec::new(),
+        slopes: vec![slope()],
+        runs: vec![serde_json::from_str(run).expect("a run")],
+    }
+}
+
+fn row(rest: &str) -> Row {
+    let text = format!("table = \"t\"\nfigure = \"f\"\nunit = \"s\"\nby = \"m\"\n{rest}");
+    toml::from_str(&text).expect("a row")
+}
+
+fn worked(rest: &str) -> Result<Worked, String> {
+    row(rest).work(&inputs())
+}
+
+#[test]
+fn a_figure_is_measured_only_at_the_very_size_and_alone() {
+    let seen = worked(r#"terms = [{ slope = "role.cost.size", at = ["size"] }]"#).expect("worked");
+    assert_eq!(seen, Worked { value: 43.5, se: 0.0, kind: Kind::Measured });
+    let seen = worked(r#"terms = [{ run = "r", figure = "f" }]"#).expect("worked");
+    assert_eq!((seen.value, seen.kind), (7.0, Kind::Measured));
+    let times =
+        worked(r#"terms = [{ slope = "role.cost.size", at = ["size"], times = ["rate"] }]"#).expect("worked");
+    assert_eq!((times.value, times.kind), (43.5 * 66.0, Kind::Predicted));
+    let sum = r#"terms = [{ run = "r", figure = "f" }, { run = "r", figure = "f" }]"#;
+    assert_eq!(worked(sum).expect("worked").kind, Kind::Predicted);
+}
+
+#[test]
+fn beyond_the_sizes_the_line_speaks_with_its_error() {
+    let (slope, said) =
+        (slope(), worked(r#"terms = [{ slope = "role.cost.size", at = ["more"] }]"#).expect("worked"));
+    let line = slope.at(40.0);
+    assert_eq!(said, Worked { value: line.value, se: line.se, kind: Kind::Predicted });
+    assert!(said.se > 0.0);
+    let each = worked("scale = 10.0\nterms = [{ slope = \"role.cost.size\", each = [4, \"/size\"] }]")
+        .expect("worked");
+    assert!(
+        (each.value - slope.fit.slope * 2.0).abs() < 1e-9
+            && (each.se - slope.fit.slope_se * 2.0).abs() < 1e-9
+    );
+}
+
+#[test]
+fn the_error_of_a_sum_is_told_only_where_every_part_has_one() {
+    let line = r#"{ slope = "role.cost.size", at = ["more"] }"#;
+    let two = worked(&format!("terms = [{line}, {line}]")).expect("worked");
+    assert!((two.se - slope().at(40.0).se * 2f64.sqrt()).abs() < 1e-9);
+    let mixed = worked(&format!(r#"terms = [{line}, {{ run = "r", figure = "f" }}]"#)).expect("worked");
+    assert_eq!(mixed.se, 0.0);
+}
+
+#[test]
+fn paper_stays_paper_in_any_sum() {
+    let sum = r#"terms = [{ run = "r", figure = "f" }, { paper = "a guess", times = [31, "rate"] }]"#;
+    let sum = worked(sum).expect("worked");
+    assert_eq!((sum.value, sum.kind), (7.0 + 2046.0, Kind::Paper));
+}
+
+#[test]
+fn what_is_not_there_is_named() {
+    for (rest, why) in [
+        ("terms = []", "no terms"),
+        (r#"terms = [{ slope = "x", at = [1] }]"#, "no slope x"),
+        (r#"terms = [{ slope = "role.cost.size", at = ["y"] }]"#, "no figure y"),
+        (r#"terms = [{ slope = "role.cost.size" }]"#, "either"),
+        (r#"terms = [{ run = "z", figure = "f" }]"#, "no run z"),
+        (r#"terms = [{ run = "r", figure = "g" }]"#, "no figure g"),
+        (r#"terms = [{ run = "r", figure = "f", paper = "p" }]"#, "a term is"),
+        ("limit = [\"l\"]\nterms = [{ paper = \"p\" }]", "no figure l"),
+    ] {
+        let told = worked(rest).expect_err(rest);
+        assert!(told.contains(why), "{rest}: {told}");
+    }
+}
+
+#[test]
+fn a_row_tells_limit_part_kind_and_source() {
+    let row = row("limit = [\"most\"]\nterms = [{ slope = \"role.cost.size\", at = [\"size\"] }]");
+    let line = row.line(&row.work(&inputs()).expect("worked"), &inputs());
+    assert_eq!(line, "| f | 43.5 s | 50 s | 87% | measured | `role.cost.size` | m |\n");
+}
+
+#[test]
+fn tables_stand_between_their_markers_and_nowhere_else() {
+    let tables: BTreeMap<String, String> = [("a".to_owned(), "| new |\n".to_owned())].into();
+    let page = "before\n<!-- table:a -->\n| old |\n<!-- end -->\nafter\n";
+    let filled = fill(page, &tables).expect("filled");
+    assert_eq!(filled, "before\n<!-- table:a -->\n| new |\n<!-- end -->\nafter\n");
+    assert_eq!(fill(&filled, &tables), Ok(filled.clone()), "again the same");
+    for (bad, why) in [
+        ("<!-- table:a -->\n", "not closed"),
+        ("<!-- table:b -->\n<!-- end -->\n", "no table b"),
+        ("<!-- end -->\n", "no table is open"),
+        ("nothing\n", "no place"),
+        ("<!-- table:a -->\n<!-- end -->\n<!-- table:a -->\n<!-- end -->\n", "two places"),
+        ("<!-- table:a -->\n<!-- table:a -->\n<!-- end -->\n", "line 1 is not closed"),
+    ] {
+        let told = fill(bad, &tables).expect_err(bad);
+        assert!(told.contains(why), "{bad}: {told}");
+    }
+}
+
+#[test]
+fn numbers_are_short() {
+    let told: Vec<String> =
+        [0.0, 0.0123456, 1.5, 43.5, 123.4, 2046.0, 1234567.0, 2.6e6, 1.234e-5, -3.25, -20460.0]
+            .map(short)
+            .into();
+    let wanted = [
+        "0",
+        "0.0123",
+        "1.5",
+        "43.5",
+        "123",
+        "2,046",
+        "1,230,000",
+        "2,600,000",
+        "1.23e-5",
+        "-3.25",
+        "-20,460",
+    ];
+    assert_eq!(told, wanted);
+}
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -1,8 +1,10 @@
 //! What can be asked of the laboratory.
 
+mod capacity;
 mod chaos;
 mod keeper;
 mod sim;
+mod slopes;
 mod versions;
 
 use aniseyoke_lab::audit::Recorder;
@@ -43,6 +45,10 @@
     Chaos(chaos::Chaos),
     /// Publish versions of the configuration to a fleet of real proxies, and measure what they take.
     Versions(versions::Versions),
+    /// Measure what one more node, change, route, proxy or request costs each role, and fit it.
+    Slopes(slopes::Measure),
+    /// Work the capacity page out from slopes and runs, or check that it says what they say.
+    Capacity(capacity::Capacity),
     /// Serve as a memcached server of the binary protocol until Ctrl-C, for client libraries of others.
     Keeper(keeper::Keep),
     /// Open a site and keep it until Ctrl-C; a configuration for each proxy is written.
@@ -188,6 +194,8 @@
         Command::Sim(args) => sim::run(&args),
         Command::Chaos(args) => chaos::run(&args),
         Command::Versions(args) => versions::run(&args),
+        Command::Slopes(args) => slopes::run(&args),
+        Command::Capacity(args) => capacity::run(&args),
         Command::Site(args) => stand(&args),
         Command::Load(args) => send(&args),
         Command::Day(command) => days(&command),
--- /dev/null
+++ b/crates/lab/src/cli/slopes.rs
@@ -0,0 +1,64 @@
+//! Measures slopes.
+
+use aniseyoke_lab::slopes::{called, keep, measure, Setup, Slope};
+use aniseyoke_lab::trial::{find_program, find_proxy};
+use clap::Args;
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct Measure {
+    /// Families of slopes, or slopes; all without any.
+    names: Vec<String>,
+    /// The folder that keeps them, a JSON file each.
+    #[arg(long, default_value = "docs/capacity/slopes")]
+    out: PathBuf,
+    /// Note that other work was on the machine.
+    #[arg(long)]
+    shared: bool,
+    /// Only name the families and their slopes.
+    #[arg(long)]
+    list: bool,
+    /// The proxy's program, as for `try`.
+    #[arg(long)]
+    proxy: Option<PathBuf>,
+    /// The control service's program; otherwise the one beside this, built first under cargo.
+    #[arg(long)]
+    control: Option<PathBuf>,
+}
+
+fn told(slope: &Slope) {
+    let Slope { name, unit, fit, held_out, .. } = slope;
+    let power = fit.power.map_or("-".to_owned(), |power| format!("{power:.2}"));
+    let line = if slope.straight() { "straight" } else { "NOT straight" };
+    println!(
+        "{name:<26} {:.4e} + x * {:.4e} (+- {:.1e}) {unit}, power {power}; at {} {:.4e}, said {:.4e} +- {:.1e}: {line}",
+        fit.intercept, fit.slope, fit.slope_se, held_out.x, held_out.measured, held_out.predicted, held_out.predicted_se
+    );
+}
+
+pub fn run(args: &Measure) -> Result<bool, String> {
+    let families = called(&args.names)?;
+    if args.list {
+        for family in families {
+            println!("{}: against {}, at {:?}", family.name, family.against, family.at);
+            family.quantities.iter().for_each(|q| println!("  {}: {}, {}", q.name, q.quantity, q.unit));
+        }
+        return Ok(true);
+    }
+    let setup = Setup {
+        proxy: find_proxy(args.proxy.clone())?,
+        control: find_program(args.control.clone(), "aniseyoke-control", "aniseyoke-control")?,
+        shared: args.shared,
+    };
+    for family in families {
+        let slopes = measure(family, &setup, |x, values| {
+            let values: Vec<String> = values.iter().map(|v| format!("{v:.4e}")).collect();
+            eprintln!("{} at {x}: {}", family.name, values.join(", "));
+        })?;
+        for slope in &slopes {
+            keep(slope, &args.out)?;
+            told(slope);
+        }
+    }
+    Ok(true)
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -9,12 +9,15 @@
 //! - [`rig`]: real proxies and stand-ins with faults on the links between them and on the processes.
 //! - [`fleet`]: many real proxies behind one control service.
 //! - [`sim`]: whole fleets in simulated time, with the real decision module.
+//! - [`slopes`]: what one more node, change, route, proxy or request costs each role.
+//! - [`capacity`]: the page of figures at the target's size, from slopes and runs.
 //! - [`keeper`]: what a memcached server does with its values.
 //! - [`floor`]: a bare pass-through, the least that any proxy costs.
 #![deny(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod audit;
+pub mod capacity;
 pub mod clock;
 pub mod day;
 pub mod fleet;
@@ -24,5 +27,6 @@
 pub mod rig;
 pub mod sim;
 pub mod site;
+pub mod slopes;
 pub mod trial;
 pub mod world;
--- a/crates/lab/src/site/discovery.rs
+++ b/crates/lab/src/site/discovery.rs
@@ -44,7 +44,7 @@
 }
 
 /// The value of a parameter of a query.
-fn parameter(path: &str, name: &str) -> Option<u64> {
+pub fn parameter(path: &str, name: &str) -> Option<u64> {
     let query = path.split_once('?')?.1;
     query
         .split('&')
@@ -110,13 +110,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn parameters_are_read_by_name() {
-        let path = "/catalog/members?from=41&hold_ms=2000";
-        assert_eq!((parameter(path, "from"), parameter(path, "hold_ms")), (Some(41), Some(2000)));
-        assert_eq!((parameter("/catalog/members", "from"), parameter(path, "fro")), (None, None));
-    }
-}
+mod tests;
--- a/crates/lab/src/site/mod.rs
+++ b/crates/lab/src/site/mod.rs
@@ -8,6 +8,7 @@
 pub mod toll;
 pub mod wire;
 
+pub(crate) use discovery::parameter;
 pub use front::{Front, Health};
 
 use crate::audit::Recorder;
--- /dev/null
+++ b/crates/lab/src/slopes/tests.rs
@@ -0,0 +1,99 @@
+use super::*;
+
+#[test]
+fn a_line_is_found_with_its_error_and_predicts_the_largest() {
+    let straight: Vec<(f64, f64)> = [1.0, 2.0, 4.0, 8.0, 16.0].iter().map(|x| (*x, 3.0 + 2.0 * x)).collect();
+    let fit = Fit::new(&straight).expect("a line");
+    assert!((fit.slope - 2.0).abs() < 1e-9 && (fit.intercept - 3.0).abs() < 1e-9 && fit.slope_se < 1e-9);
+    // Worked out by hand: slope 1.1, residuals -0.1, 0.3, -0.3, 0.1, Sxx 5.
+    let bent = [(1.0, 1.0), (2.0, 2.5), (3.0, 3.0), (4.0, 4.5)];
+    let fit = Fit::new(&bent).expect("a line");
+    assert!((fit.slope - 1.1).abs() < 1e-9 && (fit.intercept - 0.0).abs() < 1e-9, "{fit:?}");
+    assert!((fit.slope_se - (0.1f64 / 5.0).sqrt()).abs() < 1e-9, "{fit:?}");
+    let said = fit.at(&bent, 5.5);
+    assert!((said.value - 6.05).abs() < 1e-9, "{said:?}");
+    assert!((said.se - (0.1f64 * (1.25 + 9.0 / 5.0)).sqrt()).abs() < 1e-9, "{said:?}");
+}
+
+#[test]
+fn the_power_of_a_curve_is_told() {
+    let square: Vec<(f64, f64)> = [1.0, 2.0, 4.0, 8.0].iter().map(|x| (*x, 5.0 * x * x)).collect();
+    let power = Fit::new(&square).expect("a fit").power.expect("a power");
+    assert!((power - 2.0).abs() < 1e-9);
+    assert_eq!(Fit::new(&[(1.0, 0.0), (2.0, 1.0), (3.0, 2.0)]).expect("a fit").power, None);
+}
+
+#[test]
+fn what_makes_no_line_is_refused() {
+    assert!(Fit::new(&[(1.0, 1.0), (2.0, 2.0)]).is_err(), "two points have no error");
+    assert!(Fit::new(&[(1.0, 1.0), (1.0, 2.0), (1.0, 3.0)]).is_err(), "one place");
+    assert!(Fit::new(&[(1.0, 1.0), (2.0, f64::NAN), (3.0, 3.0)]).is_err(), "no number");
+}
+
+const FAMILY: Family = Family {
+    name: "role.size",
+    role: "role",
+    against: "size",
+    at: &[1.0, 2.0, 5.0, 10.0, 20.0],
+    quantities: &[Quantity { name: "role.cost.size", quantity: "cost", unit: "s" }],
+    measure: |_, x| Ok(vec![1.0 + x]),
+};
+
+fn slope(points: &[(f64, f64)]) -> Result<Slope, String> {
+    Slope::new(&FAMILY.quantities[0], &FAMILY, true, points.to_vec())
+}
+
+#[test]
+fn the_largest_size_is_kept_out_and_told_against_the_fit() {
+    let slope = slope(&[(20.0, 30.0), (1.0, 2.0), (2.0, 3.0), (5.0, 6.0), (10.0, 11.0)]).expect("a slope");
+    assert_eq!((slope.points.len(), slope.held_out.x, slope.held_out.measured), (4, 20.0, 30.0));
+    assert!((slope.held_out.predicted - 21.0).abs() < 1e-9 && !slope.straight());
+    assert_eq!(
+        (slope.measured(20.0), slope.measured(5.0), slope.measured(6.0)),
+        (Some(30.0), Some(6.0), None)
+    );
+    assert_eq!(slope.check(), Ok(()));
+    let mut other = slope.clone();
+    other.fit.slope *= 1.01;
+    assert!(other.check().is_err_and(|why| why.contains("role.cost.size")));
+    let mut other = slope;
+    other.points[0].1 += 0.5;
+    assert!(other.check().is_err());
+}
+
+#[test]
+fn too_few_sizes_or_too_little_span_make_no_slope() {
+    let few = slope(&[(1.0, 1.0), (2.0, 2.0), (5.0, 5.0), (10.0, 10.0)]);
+    assert!(few.is_err_and(|why| why.contains("too few")));
+    let near = slope(&[(1.0, 1.0), (2.0, 2.0), (3.0, 3.0), (4.0, 4.0), (9.0, 9.0)]);
+    assert!(near.is_err_and(|why| why.contains("decade")));
+}
+
+#[test]
+fn every_family_has_sizes_for_a_slope_and_names_of_its_own() {
+    let mut names = std::collections::BTreeSet::new();
+    for family in families() {
+        assert!(fitted(family.at.iter().map(|x| (*x, 1.0)).collect()).is_ok(), "{}", family.name);
+        for quantity in family.quantities {
+            assert!(names.insert(quantity.name), "{} twice", quantity.name);
+            assert_eq!(called(&[quantity.name.to_owned()]).map(|f| f.len()), Ok(1));
+        }
+    }
+    assert!(called(&["no.such".to_owned()]).is_err_and(|why| why.contains("no.such")));
+}
+
+#[test]
+fn a_slope_is_kept_and_read_again() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let setup = Setup { proxy: PathBuf::new(), control: PathBuf::new(), shared: false };
+    let mut sizes = Vec::new();
+    let slopes = measure(&FAMILY, &setup, |x, _| sizes.push(x)).expect("measured");
+    slopes.iter().for_each(|slope| keep(slope, folder.path()).expect("kept"));
+    assert_eq!((sizes.len(), read(folder.path())), (5, Ok(slopes)));
+}
+
+#[test]
+fn a_rate_that_was_not_reached_counts_for_nothing() {
+    assert_eq!(held(20, 10.0, 2.0), Ok(()));
+    assert!(held(18, 10.0, 2.0).is_err_and(|why| why.contains("1.8")));
+}
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -11,7 +11,8 @@
 pub use proxies::health;
 pub use recovery::Recovery;
 pub use report::{Line, Percentiles, Report};
-pub use subject::{find_file, find_proxy, Log, Program, Running, Subject};
+pub(crate) use subject::tie;
+pub use subject::{find_file, find_program, find_proxy, Log, Program, Running, Subject};
 pub use sweep::{plot, sweep, Curve, Point};
 pub use usage::Usage;
 
@@ -167,16 +168,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_trial_that_ran_late_or_did_not_run_is_void() {
-        let at = |p99_ms| Percentiles { p99_ms, ..Percentiles::default() };
-        assert_eq!(void(10, 0, &at(2.0), &at(2.0)), None);
-        assert!(void(0, 0, &at(2.0), &at(2.0)).is_some_and(|why| why.contains("no request")));
-        assert!(void(10, 1, &at(2.0), &at(2.0)).is_some_and(|why| why.contains("not sent")));
-        assert!(void(10, 0, &at(26.0), &at(2.0)).is_some_and(|why| why.contains("site")));
-        assert!(void(10, 0, &at(2.0), &at(26.0)).is_some_and(|why| why.contains("load")));
-    }
-}
+mod tests;
--- a/crates/lab/src/trial/subject.rs
+++ b/crates/lab/src/trial/subject.rs
@@ -112,7 +112,7 @@
 
 /// Has the child be killed when the thread that starts it ends.
 #[allow(unsafe_code)]
-fn tie(command: &mut Command) {
+pub(crate) fn tie(command: &mut Command) {
     use std::os::unix::process::CommandExt;
     let pdeathsig = || nix::sys::prctl::set_pdeathsig(Signal::SIGKILL).map_err(std::io::Error::from);
     // SAFETY: audited. The closure runs in the child between fork and exec and makes one system call, prctl, which
@@ -242,12 +242,20 @@
     named.canonicalize().map_err(|e| format!("{}: {e}", named.display()))
 }
 
-/// Finds the proxy's program: the one named, or the one beside this program. Under cargo it is built first, in the same
-/// profile, so that what is tried is the code as it stands.
+/// Finds the proxy's program, as [`find_program`].
 ///
 /// # Errors
-/// Says where it looked.
+/// As [`find_program`].
 pub fn find_proxy(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    find_program(named, "aniseyoke", "aniseyoke")
+}
+
+/// Finds a program of this workspace: the one named, or the one beside this program. Under cargo it is built first, in
+/// the same profile, so that what is tried is the code as it stands.
+///
+/// # Errors
+/// Says where it looked.
+pub fn find_program(named: Option<PathBuf>, package: &str, name: &str) -> Result<PathBuf, String> {
     if let Some(path) = named {
         return path.is_file().then_some(path.clone()).ok_or(format!("{}: no such file", path.display()));
     }
@@ -257,7 +265,7 @@
     let profile = own.ancestors().skip(1).take(2).find(|f| f.ends_with("release") || f.ends_with("debug"));
     if let (Some(cargo), Some(profile)) = (std::env::var_os("CARGO"), profile) {
         let mut command = Command::new(cargo);
-        command.args(["build", "--quiet", "--locked", "-p", "aniseyoke", "--bin", "aniseyoke"]);
+        command.args(["build", "--quiet", "--locked", "-p", package, "--bin", name]);
         command.current_dir(Path::new(env!("CARGO_MANIFEST_DIR")));
         if profile.ends_with("release") {
             command.arg("--release");
@@ -267,9 +275,9 @@
         }
         let status = command.status().map_err(|e| format!("cargo build: {e}"))?;
         if !status.success() {
-            return Err("the proxy does not build".into());
+            return Err(format!("{name} does not build"));
         }
     }
-    let found = folders.find_map(|f| Some(f.join("aniseyoke")).filter(|path| path.is_file()));
-    found.ok_or(format!("no aniseyoke beside {}; name it with --proxy", own.display()))
+    let found = folders.find_map(|f| Some(f.join(name)).filter(|path| path.is_file()));
+    found.ok_or(format!("no {name} beside {}; name the file", own.display()))
 }
--- /dev/null
+++ b/crates/lab/tests/capacity.rs
@@ -0,0 +1,62 @@
+//! The capacity page says what slopes and runs say, and a page that does not is found out.
+
+use aniseyoke_lab::capacity::{differs, page};
+use std::path::{Path, PathBuf};
+
+fn docs() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs")
+}
+
+/// A copy of the page and what it is worked out from.
+fn copy() -> tempfile::TempDir {
+    let folder = tempfile::tempdir().expect("a folder");
+    for part in ["", "capacity", "capacity/slopes", "capacity/runs"] {
+        let (from, to) = (docs().join(part), folder.path().join(part));
+        std::fs::create_dir_all(&to).expect("a folder");
+        let Ok(entries) = std::fs::read_dir(&from) else { continue };
+        for entry in entries.map(|e| e.expect("an entry")).filter(|e| e.path().is_file()) {
+            std::fs::copy(entry.path(), to.join(entry.file_name())).expect("copied");
+        }
+    }
+    folder
+}
+
+fn change(file: &Path, act: impl FnOnce(&mut serde_json::Value)) {
+    let text = std::fs::read_to_string(file).expect("a file");
+    let mut value = serde_json::from_str(&text).expect("JSON");
+    act(&mut value);
+    std::fs::write(file, value.to_string()).expect("written");
+}
+
+#[test]
+fn the_page_says_what_slopes_and_runs_say() {
+    assert_eq!(differs(&docs()), Ok(None), "`aniseyoke-lab capacity` writes it anew");
+}
+
+#[test]
+fn a_figure_changed_by_hand_is_found_out() {
+    let copy = copy();
+    let file = copy.path().join("CAPACITY.md");
+    let text = std::fs::read_to_string(&file).expect("the page");
+    std::fs::write(&file, text.replacen("| predicted |", "| measured |", 1)).expect("written");
+    let told = differs(copy.path()).expect("worked out").expect("found out");
+    assert!(told.contains("CAPACITY.md:"), "{told}");
+    std::fs::write(&file, page(copy.path()).expect("worked out")).expect("written");
+    assert_eq!(differs(copy.path()), Ok(None));
+}
+
+#[test]
+fn a_slope_whose_points_changed_is_refused_until_it_is_fitted_again() {
+    let copy = copy();
+    let file = copy.path().join("capacity/slopes/proxy.memory.routes.json");
+    change(&file, |slope| slope["points"][0][1] = serde_json::json!(1.0));
+    assert!(differs(copy.path()).is_err_and(|why| why.contains("proxy.memory.routes")));
+}
+
+#[test]
+fn another_measurement_at_the_largest_size_changes_the_page() {
+    let copy = copy();
+    let file = copy.path().join("capacity/slopes/proxy.memory.routes.json");
+    change(&file, |slope| slope["held_out"]["measured"] = serde_json::json!(77.0));
+    assert!(differs(copy.path()).expect("worked out").is_some());
+}
