Lay out the scale run: its experiment, hollow members, links, children and figures

Hundreds of real proxies do not fit on one machine, and what the fleet that is coming costs the control service has to be measured at its size. An experiment names regions, sites, members, rates and faults; hollow members run the deciding parts of a proxy's control side on real sockets, hundreds in one process.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -2,6 +2,7 @@
 
 mod chaos;
 mod keeper;
+mod scale;
 mod sim;
 mod versions;
 
@@ -41,6 +42,8 @@
     Sim(sim::Simulate),
     /// Play an experiment of the fault rig: real proxies, relays on every link, faults by a schedule.
     Chaos(chaos::Chaos),
+    /// Play a scale experiment: real proxies beside hollow ones, purges and changes, before one control service or relays.
+    Scale(scale::Scale),
     /// Publish versions of the configuration to a fleet of real proxies, and measure what they take.
     Versions(versions::Versions),
     /// Serve as a memcached server of the binary protocol until Ctrl-C, for client libraries of others.
@@ -55,6 +58,9 @@
     /// Serve as the bare pass-through of `compare`, by $PROXY_CONFIG.
     #[command(hide = true)]
     Floor,
+    /// Hold hollow members of `scale`, as standard input says.
+    #[command(hide = true)]
+    Hollow,
 }
 
 /// Which day.
@@ -192,6 +198,8 @@
         Command::Load(args) => send(&args),
         Command::Day(command) => days(&command),
         Command::Floor => pass_through(),
+        Command::Scale(args) => scale::run(&args),
+        Command::Hollow => scale::hollow(),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/lab/src/cli/scale.rs
@@ -0,0 +1,86 @@
+//! Plays an experiment of the scale run.
+
+use super::until_interrupted;
+use aniseyoke_lab::scale::play::{self, Programs};
+use aniseyoke_lab::scale::plan::Plan;
+use aniseyoke_lab::scale::{host, report};
+use aniseyoke_lab::trial::{find_control, find_proxy};
+use clap::Args;
+use indicatif::{ProgressBar, ProgressStyle};
+use std::path::PathBuf;
+
+#[derive(Args)]
+pub struct Scale {
+    /// The experiment's file, as in `crates/lab/experiments`.
+    #[arg(long)]
+    plan: PathBuf,
+    /// The schedule and the delays of regions follow from it.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// The proxy's program, as for `try`.
+    #[arg(long)]
+    proxy: Option<PathBuf>,
+    /// The control service's program, found in the same way.
+    #[arg(long)]
+    control: Option<PathBuf>,
+    /// Where `scale.json`, the plot and the lines of all processes go; a new folder otherwise.
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// Only check the file and print its schedule.
+    #[arg(long)]
+    check: bool,
+}
+
+/// Plays it; whether everything that was made came into force everywhere.
+pub fn run(args: &Scale) -> Result<bool, String> {
+    let file = args.plan.display().to_string();
+    let text = std::fs::read_to_string(&args.plan).map_err(|e| format!("{file}: {e}"))?;
+    let plan = Plan::parse(&file, &text).map_err(|e| e.to_string())?;
+    if args.check {
+        let schedule = plan.schedule(args.seed);
+        for (at, step) in &schedule.steps {
+            println!("{:8.3} s  {step:?}", at.as_secs_f64());
+        }
+        println!("{} purges, {} changes", schedule.purges.len(), schedule.changes.len());
+        for (who, need, why) in aniseyoke_lab::scale::need::needs(&plan) {
+            println!("{who}: {need} descriptors, {why}");
+        }
+        return Ok(true);
+    }
+    let programs = Programs {
+        proxy: find_proxy(args.proxy.clone())?,
+        control: find_control(args.control.clone())?,
+        lab: std::env::current_exe().map_err(|e| e.to_string())?,
+    };
+    let out = match &args.out {
+        Some(out) => out.clone(),
+        None => tempfile::Builder::new().prefix("scale-").tempdir_in(".").map_err(|e| e.to_string())?.keep(),
+    };
+    std::fs::create_dir_all(&out).map_err(|e| format!("{}: {e}", out.display()))?;
+    // Children start in folders of their own.
+    let out = out.canonicalize().map_err(|e| format!("{}: {e}", out.display()))?;
+    let bar = ProgressBar::new(1000);
+    let style = ProgressStyle::with_template("{msg} [{wide_bar}] {percent}%").map_err(|e| e.to_string())?;
+    bar.set_style(style);
+    let progress = |what: &str, part: f64| {
+        bar.set_message(what.to_owned());
+        bar.set_position((part * 1000.0) as u64);
+    };
+    let processes = out.join("processes");
+    std::fs::create_dir_all(&processes).map_err(|e| format!("{}: {e}", processes.display()))?;
+    let outcome = play::run(&plan, args.seed, &programs, &processes, &until_interrupted(), &progress);
+    bar.finish_and_clear();
+    let outcome = outcome?;
+    let name = args.plan.file_stem().map_or_else(|| file.clone(), |name| name.to_string_lossy().into_owned());
+    let judged = report::judge(&name, &file, &plan, args.seed, &outcome);
+    super::keep(&judged.scale, Some(&out.join("scale.json")))?;
+    report::plot(&judged, &out.join("scale.svg"))?;
+    print!("{}", report::table(&judged, &outcome));
+    println!("written to {}", out.display());
+    Ok(judged.complete)
+}
+
+/// Hosts hollow members, as the rig tells on standard input.
+pub fn hollow() -> Result<bool, String> {
+    host::run().map(|()| true)
+}
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -77,7 +77,7 @@
 }
 
 /// A version with so many routes, one of which is another in each.
-fn body(day: &Day, routes: u64, changed: u64) -> Value {
+pub(crate) fn body(day: &Day, routes: u64, changed: u64) -> Value {
     let kinds: Vec<&str> = day.site.cache.kinds.iter().map(|k| k.name.as_str()).collect();
     let pool = |n| if n == changed % routes.max(1) { "b" } else { "a" };
     let route = |n| json!({ "prefix": format!("device-{n:06}/"), "pool": pool(n) });
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`audit`]: what clients sent and got and what nodes received, held against the rules.
 //! - [`trial`]: one day from start to end: site, subjects, load, audit, report.
 //! - [`rig`]: real proxies and stand-ins with faults on the links between them and on the processes.
+//! - [`scale`]: a whole fleet, real proxies beside hollow ones, before one control service or a tree of relays.
 //! - [`fleet`]: many real proxies behind one control service.
 //! - [`sim`]: whole fleets in simulated time, with the real decision module.
 //! - [`keeper`]: what a memcached server does with its values.
@@ -22,6 +23,7 @@
 pub mod keeper;
 pub mod load;
 pub mod rig;
+pub mod scale;
 pub mod sim;
 pub mod site;
 pub mod trial;
--- a/crates/lab/src/rig/plan.rs
+++ b/crates/lab/src/rig/plan.rs
@@ -221,7 +221,7 @@
 impl std::error::Error for PlanError {}
 
 /// Line and column, from 1, of a byte of a text.
-fn place(text: &str, at: usize) -> (usize, usize) {
+pub(crate) fn place(text: &str, at: usize) -> (usize, usize) {
     let at = (0..=at.min(text.len())).rev().find(|i| text.is_char_boundary(*i)).unwrap_or(0);
     let before = text.get(..at).unwrap_or_default();
     let line = before.matches('\n').count() + 1;
--- /dev/null
+++ b/crates/lab/src/scale/link.rs
@@ -0,0 +1,153 @@
+//! A link between regions: every connection over it is delayed, order kept, and goes silent while the link is cut.
+//! Chunks of bytes are on their way at the same time, as on a long line; the fault rig's relay holds one at a time,
+//! which would add a delay for those behind.
+
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::Handle;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep_until, timeout, Instant};
+
+/// A chunk of bytes is at most so long.
+const CHUNK: usize = 16 << 10;
+/// Chunks of one direction that are on their way at once; past that the sender waits.
+const ON_THE_WAY: usize = 1024;
+/// The far end is reached within this time.
+const CONNECT_WITHIN: Duration = Duration::from_secs(2);
+
+/// How long bytes take, one way.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Takes {
+    /// At least so long.
+    pub delay: Duration,
+    /// Up to so much more, for each chunk.
+    pub jitter: Duration,
+}
+
+/// The thread that carries bytes over all links, so that nothing else of the rig holds them back; it ends with this.
+pub struct Carrier {
+    /// Where links are opened.
+    pub handle: Handle,
+    _stop: tokio::sync::oneshot::Sender<()>,
+}
+
+impl Carrier {
+    /// Starts it.
+    ///
+    /// # Errors
+    /// If the system lacks threads or descriptors.
+    pub fn start() -> io::Result<Carrier> {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let handle = runtime.handle().clone();
+        let (stop, stopped) = tokio::sync::oneshot::channel();
+        // It ends when the sender is gone, which is no error here.
+        let carry = move || drop(runtime.block_on(stopped));
+        std::thread::Builder::new().name("links".into()).spawn(carry)?;
+        Ok(Carrier { handle, _stop: stop })
+    }
+}
+
+/// A link that stands.
+pub struct Link {
+    /// Where it takes connections.
+    pub addr: SocketAddr,
+    cut: watch::Sender<bool>,
+}
+
+impl Link {
+    /// Cuts it, or heals it.
+    pub fn cut(&self, cut: bool) {
+        self.cut.send_replace(cut);
+    }
+}
+
+/// Opens a link to `target` on `handle`'s runtime.
+///
+/// # Errors
+/// If no port on loopback could be had.
+pub fn open(handle: &Handle, target: SocketAddr, takes: Takes, seed: u64) -> io::Result<Link> {
+    let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+    listener.set_nonblocking(true)?;
+    // A whole region connects at once; the standard library asks for room for 128.
+    socket2::SockRef::from(&listener).listen(4096)?;
+    let addr = listener.local_addr()?;
+    let (cut, is_cut) = watch::channel(false);
+    handle.spawn(async move {
+        let listener = match TcpListener::from_std(listener) {
+            Ok(listener) => listener,
+            Err(e) => return tracing::error!("link {addr}: {e}"),
+        };
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(carry(stream, target, takes, rng.random(), is_cut.clone()));
+                }
+                Err(e) => {
+                    tracing::warn!("link {addr}: {e}");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            }
+        }
+    });
+    Ok(Link { addr, cut })
+}
+
+async fn carry(
+    down: TcpStream,
+    target: SocketAddr,
+    takes: Takes,
+    seed: u64,
+    mut is_cut: watch::Receiver<bool>,
+) {
+    // A connection made while the link is cut is taken and not answered, as a SYN sent again would find it.
+    if is_cut.wait_for(|cut| !cut).await.is_err() {
+        return;
+    }
+    let Ok(Ok(up)) = timeout(CONNECT_WITHIN, TcpStream::connect(target)).await else { return };
+    // They only cost time.
+    let _ = (down.set_nodelay(true), up.set_nodelay(true));
+    let ((down_reads, down_writes), (up_reads, up_writes)) = (down.into_split(), up.into_split());
+    tokio::select! {
+        () = pump(down_reads, up_writes, takes, seed, is_cut.clone()) => {}
+        () = pump(up_reads, down_writes, takes, seed ^ 1, is_cut) => {}
+    }
+}
+
+async fn pump(
+    mut reads: OwnedReadHalf,
+    mut writes: OwnedWriteHalf,
+    takes: Takes,
+    seed: u64,
+    mut is_cut: watch::Receiver<bool>,
+) {
+    let (send, mut sent) = mpsc::channel::<(Instant, Vec<u8>)>(ON_THE_WAY);
+    let read = async move {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let mut part = vec![0; CHUNK];
+        while let Ok(length @ 1..) = reads.read(&mut part).await {
+            let due = Instant::now() + takes.delay + takes.jitter.mul_f64(rng.random::<f64>());
+            if send.send((due, part[..length].to_vec())).await.is_err() {
+                return;
+            }
+        }
+    };
+    let write = async move {
+        while let Some((due, bytes)) = sent.recv().await {
+            sleep_until(due).await;
+            if is_cut.wait_for(|cut| !cut).await.is_err() || writes.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    };
+    tokio::join!(read, write);
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lab/src/scale/report/tests.rs
@@ -0,0 +1,84 @@
+use super::super::host::Report;
+use super::super::tally::Tally;
+use super::*;
+use std::collections::BTreeMap;
+
+const PLAN: &str = "length = \"10s\"\ntopology = \"direct\"\nregions = 1\nzones = 1\nsites = 1\n\
+                    proxies = 2\nnodes = 0\nreal = 1\n[purges]\nper_second = 1\n";
+
+fn outcome() -> Outcome {
+    let mut hollow = Report { purges: Tally::new(2), versions: Tally::new(2), ..Report::default() };
+    for member in 0..2 {
+        hollow.purges.reached(member, 1, 250_000_000);
+        hollow.versions.reached(member, 2, 300_000_000);
+        let traffic = Traffic { bytes_in: 900, bytes_out: 100, frames_in: 5, frames_out: 5, segments: 10 };
+        hollow.members.push((format!("hollow-{member}"), false, traffic, Traffic::default()));
+    }
+    let mut real = Tally::new(1);
+    real.reached(0, 2, 700_000_000);
+    let made = |number| Made {
+        number,
+        due: Duration::from_millis(50),
+        due_at: 50_000_000,
+        called_at: 51_000_000,
+        answered_at: 52_000_000,
+    };
+    let used = |sort| (sort, vec![Used { cpu_s: 0.1, memory_mb: 8.0 }]);
+    Outcome {
+        seconds: 10.0,
+        processes: 3,
+        hollow,
+        real,
+        purges: vec![made(1)],
+        changes: vec![made(2)],
+        due: (1, 1),
+        again: (0, String::new()),
+        used: BTreeMap::from([used("root"), used("real"), used("host")]),
+        played: Vec::new(),
+        troubles: Vec::new(),
+        schedule: Default::default(),
+    }
+}
+
+fn value(judged: &Judged, name: &str) -> f64 {
+    let found = judged.scale.figures.iter().find(|f| f.name == name);
+    found.unwrap_or_else(|| panic!("no figure {name}")).value
+}
+
+#[test]
+fn the_last_member_real_or_hollow_makes_the_time() {
+    let plan = Plan::parse("p.toml", PLAN).expect("sound");
+    let judged = judge("a", "p.toml", &plan, 1, &outcome());
+    assert!(judged.complete, "{:?}", judged.troubles);
+    assert_eq!(value(&judged, "purge.done_everywhere.most"), 200.0);
+    assert_eq!(value(&judged, "change.done_everywhere.p50"), 650.0);
+    assert_eq!(value(&judged, "hollow_proxy.control.bytes.mean"), 100.0);
+    assert_eq!(value(&judged, "hollow_proxy.control.bytes_with_headers_estimated.mean"), 152.0);
+    assert_eq!(value(&judged, "hollow_member.core.mean"), 0.005);
+    let json = serde_json::to_value(&judged.scale).expect("JSON");
+    assert_eq!(json["figures"][0]["name"], "run.complete");
+    assert!(json["figures"][0].get("limit").is_none());
+    assert!(table(&judged, &outcome()).contains("\ncomplete"));
+}
+
+#[test]
+fn what_one_member_lacks_is_named_and_the_run_is_not_complete() {
+    let plan = Plan::parse("p.toml", PLAN).expect("sound");
+    let mut lacking = outcome();
+    lacking.hollow.purges = Tally::new(2);
+    lacking.hollow.purges.reached(0, 1, 1);
+    let judged = judge("a", "p.toml", &plan, 1, &lacking);
+    assert!(!judged.complete);
+    assert_eq!(value(&judged, "purge.not_done_everywhere"), 1.0);
+    assert!(judged.troubles.iter().any(|t| t.contains("hollow-1@0")), "{:?}", judged.troubles);
+    let mut unmade = outcome();
+    unmade.due.0 = 2;
+    assert!(!judge("a", "p.toml", &plan, 1, &unmade).complete);
+}
+
+#[test]
+fn quantiles_are_values_that_were_there() {
+    let values: Vec<f64> = (1..=100).rev().map(f64::from).collect();
+    assert_eq!([0.5, 0.99, 1.0].map(|q| quantile(&values, q)), [Some(50.0), Some(99.0), Some(100.0)]);
+    assert_eq!((quantile(&[7.0], 0.01), quantile(&[], 0.5)), (Some(7.0), None));
+}
--- /dev/null
+++ b/crates/lab/src/scale/tally.rs
@@ -0,0 +1,94 @@
+//! When each number, of a purge or of a version, was in force at all members. No I/O, no clock.
+
+use serde::{Deserialize, Serialize};
+
+/// Higher numbers are counted as being beyond, and no more than that.
+pub const NUMBERS_MOST: u64 = 1_000_000;
+
+/// What became of the numbers at a set of members.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Tally {
+    /// The highest number that each member has.
+    marks: Vec<u64>,
+    /// For number `n`, at `n - 1`: how many members have it, and when the last of them did, in nanoseconds.
+    done: Vec<(u32, u64)>,
+    /// Numbers past [`NUMBERS_MOST`] that were told.
+    pub beyond: u64,
+}
+
+impl Tally {
+    /// For so many members, numbered from 0, which have nothing yet.
+    pub fn new(members: usize) -> Self {
+        Tally { marks: vec![0; members], ..Tally::default() }
+    }
+
+    /// How many members there are.
+    pub fn members(&self) -> usize {
+        self.marks.len()
+    }
+
+    fn count(&mut self, member: usize, through: u64, at: u64) {
+        let Some(mark) = self.marks.get_mut(member) else { return };
+        if through > NUMBERS_MOST {
+            self.beyond += 1;
+            return;
+        }
+        if self.done.len() < through as usize {
+            self.done.resize(through as usize, (0, 0));
+        }
+        let from = *mark as usize;
+        if (through as usize) > from {
+            for (count, last) in &mut self.done[from..through as usize] {
+                *count += 1;
+                *last = (*last).max(at);
+            }
+            *mark = through;
+        }
+    }
+
+    /// A member has everything through a number since `at`.
+    pub fn reached(&mut self, member: usize, through: u64, at: u64) {
+        self.count(member, through, at);
+    }
+
+    /// Everything through a number does not concern a member: it started anew after they were made, and holds nothing.
+    pub fn excused(&mut self, member: usize, through: u64) {
+        self.count(member, through, 0);
+    }
+
+    /// The number through which all members have everything.
+    pub fn everywhere(&self) -> u64 {
+        self.marks.iter().copied().min().unwrap_or(u64::MAX)
+    }
+
+    /// The highest number that any member has.
+    pub fn newest(&self) -> u64 {
+        self.done.len() as u64
+    }
+
+    /// When the last of the members had number `number`; none if one of them has not.
+    pub fn done(&self, number: u64) -> Option<u64> {
+        let (count, last) = *self.done.get(usize::try_from(number.checked_sub(1)?).ok()?)?;
+        (count as usize == self.marks.len()).then_some(last)
+    }
+
+    /// Members, by number, that lack something through `newest`, and what they stand at.
+    pub fn lacking(&self, newest: u64) -> impl Iterator<Item = (usize, u64)> + '_ {
+        self.marks.iter().copied().enumerate().filter(move |(_, mark)| *mark < newest)
+    }
+
+    /// Takes in what became of the numbers at other members.
+    pub fn join(&mut self, other: Tally) {
+        if self.done.len() < other.done.len() {
+            self.done.resize(other.done.len(), (0, 0));
+        }
+        for (mine, theirs) in self.done.iter_mut().zip(other.done) {
+            *mine = (mine.0 + theirs.0, mine.1.max(theirs.1));
+        }
+        self.marks.extend(other.marks);
+        self.beyond += other.beyond;
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -11,7 +11,8 @@
 pub use proxies::health;
 pub use recovery::Recovery;
 pub use report::{Line, Percentiles, Report};
-pub use subject::{find_file, find_proxy, Log, Program, Running, Subject};
+pub(crate) use subject::tie;
+pub use subject::{find_control, find_file, find_proxy, Log, Program, Running, Subject};
 pub use sweep::{plot, sweep, Curve, Point};
 pub use usage::Usage;
 
--- a/crates/lab/src/trial/subject.rs
+++ b/crates/lab/src/trial/subject.rs
@@ -112,7 +112,7 @@
 
 /// Has the child be killed when the thread that starts it ends.
 #[allow(unsafe_code)]
-fn tie(command: &mut Command) {
+pub(crate) fn tie(command: &mut Command) {
     use std::os::unix::process::CommandExt;
     let pdeathsig = || nix::sys::prctl::set_pdeathsig(Signal::SIGKILL).map_err(std::io::Error::from);
     // SAFETY: audited. The closure runs in the child between fork and exec and makes one system call, prctl, which
@@ -248,6 +248,19 @@
 /// # Errors
 /// Says where it looked.
 pub fn find_proxy(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    find_program(named, "aniseyoke", "--proxy")
+}
+
+/// Finds the control service's program, as [`find_proxy`] does the proxy's.
+///
+/// # Errors
+/// Says where it looked.
+pub fn find_control(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    find_program(named, "aniseyoke-control", "--control")
+}
+
+/// `package`: the package, and its program of the same name; `option`: what names it on the command line.
+fn find_program(named: Option<PathBuf>, package: &str, option: &str) -> Result<PathBuf, String> {
     if let Some(path) = named {
         return path.is_file().then_some(path.clone()).ok_or(format!("{}: no such file", path.display()));
     }
@@ -257,7 +270,7 @@
     let profile = own.ancestors().skip(1).take(2).find(|f| f.ends_with("release") || f.ends_with("debug"));
     if let (Some(cargo), Some(profile)) = (std::env::var_os("CARGO"), profile) {
         let mut command = Command::new(cargo);
-        command.args(["build", "--quiet", "--locked", "-p", "aniseyoke", "--bin", "aniseyoke"]);
+        command.args(["build", "--quiet", "--locked", "-p", package, "--bin", package]);
         command.current_dir(Path::new(env!("CARGO_MANIFEST_DIR")));
         if profile.ends_with("release") {
             command.arg("--release");
@@ -267,9 +280,9 @@
         }
         let status = command.status().map_err(|e| format!("cargo build: {e}"))?;
         if !status.success() {
-            return Err("the proxy does not build".into());
+            return Err(format!("{package} does not build"));
         }
     }
-    let found = folders.find_map(|f| Some(f.join("aniseyoke")).filter(|path| path.is_file()));
-    found.ok_or(format!("no aniseyoke beside {}; name it with --proxy", own.display()))
+    let found = folders.find_map(|f| Some(f.join(package)).filter(|path| path.is_file()));
+    found.ok_or(format!("no {package} beside {}; name it with {option}", own.display()))
 }
