Tell in one error which descriptors a measurement lacks

Both ends of each connection are in that process, so it counts what it needs first and names what is short, by how much, and how many proxies fit.

--- a/crates/control/src/measure.rs
+++ b/crates/control/src/measure.rs
@@ -75,9 +75,26 @@
     }
 }
 
-pub fn run(m: &Measure) -> Result<(), String> {
+/// Descriptors of a measurement beside its connections: standard ones, listeners, those of the runtimes.
+const OWN: u64 = 64;
+
+/// Raises the limit of descriptors as far as it may, and says what is short: both ends of each connection are here.
+fn secure(proxies: usize) -> Result<(), String> {
     let (_, hard) = getrlimit(Resource::RLIMIT_NOFILE).map_err(|e| e.to_string())?;
     setrlimit(Resource::RLIMIT_NOFILE, hard, hard).map_err(|e| e.to_string())?;
+    let need = 2 * proxies as u64 + OWN;
+    match need.checked_sub(hard) {
+        None | Some(0) => Ok(()),
+        Some(short) => Err(format!(
+            "{proxies} proxies need {need} descriptors (two for each connection, {OWN} others), and this process may \
+             have {hard}: {short} short; raise the limit (ulimit -n), or ask for at most {} proxies",
+            hard.saturating_sub(OWN) / 2
+        )),
+    }
+}
+
+pub fn run(m: &Measure) -> Result<(), String> {
+    secure(m.proxies)?;
     let service = Hosted::start(1).map_err(|e| e.to_string())?;
     let addr = service.addr;
     let (applied, times) = channel();
