Reach regions that are neither far nor cut off without a link

A link has two ends in the rig's process, and 3,400 members before one service would take 6,800 descriptors for nothing.

--- a/crates/lab/src/cli/scale.rs
+++ b/crates/lab/src/cli/scale.rs
@@ -42,7 +42,7 @@
             println!("{:8.3} s  {step:?}", at.as_secs_f64());
         }
         println!("{} purges, {} changes", schedule.purges.len(), schedule.changes.len());
-        for (who, need, why) in aniseyoke_lab::scale::need::needs(&plan) {
+        for (who, need, why) in aniseyoke_lab::scale::need::needs(&plan, args.seed) {
             println!("{who}: {need} descriptors, {why}");
         }
         return Ok(true);
--- a/crates/lab/src/scale/layout.rs
+++ b/crates/lab/src/scale/layout.rs
@@ -1,6 +1,6 @@
 //! Who stands at which site, zone and region, and how far regions are. No I/O, no clock.
 
-use super::plan::{Plan, Role};
+use super::plan::{Do, Plan, Role};
 use crate::clock::{mix, part};
 use std::time::Duration;
 
@@ -49,3 +49,19 @@
     }
     plan.delay.base.0 + plan.delay.spread.0.mul_f64(part(mix(seed, 4, region as u64)))
 }
+
+/// Up to so much more, for each chunk of bytes; nothing within the first region.
+pub fn jitter(plan: &Plan, region: usize) -> Duration {
+    if region == 0 {
+        return Duration::ZERO;
+    }
+    plan.delay.jitter.0
+}
+
+/// Which regions are reached over a link: those that are away, and those that will be cut off.
+pub fn linked(plan: &Plan, seed: u64) -> Vec<bool> {
+    let steps = plan.schedule(seed).steps;
+    let cut = |region| steps.iter().any(|(_, step)| *step == Do::Cut(region));
+    let away = |region| !(delay(plan, seed, region) + jitter(plan, region)).is_zero();
+    (0..plan.regions()).map(|region| away(region) || cut(region)).collect()
+}
--- a/crates/lab/src/scale/need.rs
+++ b/crates/lab/src/scale/need.rs
@@ -1,5 +1,6 @@
 //! What a run needs of descriptors, counted before anything starts. No I/O but the look at the limit.
 
+use super::layout;
 use super::plan::{Plan, Role, Topology};
 use nix::sys::resource::{getrlimit, setrlimit, Resource};
 
@@ -7,22 +8,24 @@
 const OWN: usize = 64;
 
 /// What the hungriest process of each sort needs, and what for.
-pub fn needs(plan: &Plan) -> Vec<(&'static str, usize, String)> {
+pub fn needs(plan: &Plan, seed: u64) -> Vec<(&'static str, usize, String)> {
     let members = plan.hollow() + plan.real();
     let (sites, hosts) = (plan.sites(), *plan.hosts.get_ref());
     let at_root = match plan.topology {
         Topology::Direct => members,
         Topology::Relays => plan.regions(),
     };
+    let linked = layout::linked(plan, seed).iter().filter(|l| **l).count();
+    let over_links = at_root * linked / plan.regions();
     let listed = *plan.listed.get_ref();
     let proxies = plan.count(Role::Proxy);
-    let rig = OWN + 3 * plan.processes() + 2 * at_root + listed + proxies + plan.real() * (2 + listed);
+    let rig = OWN + 3 * plan.processes() + 2 * over_links + listed + proxies + plan.real() * (2 + listed);
     let mut needs = vec![
         (
             "the rig",
             rig,
             format!(
-                "{at_root} connections of two ends over links, pipes of {} children, {listed} listed nodes with \
+                "{over_links} connections of two ends over links, pipes of {} children, {listed} listed nodes with \
                  {} real proxies before them, {proxies} calls for lists",
                 plan.processes(),
                 plan.real()
@@ -48,21 +51,21 @@
 }
 
 /// What is short, if each process may hold `most`: each with what it needs and how much is missing.
-pub fn short(plan: &Plan, most: usize) -> Vec<String> {
+pub fn short(plan: &Plan, seed: u64, most: usize) -> Vec<String> {
     let lacks = |(who, need, why): &(&str, usize, String)| {
         (*need > most).then(|| format!("{who} needs {need} descriptors ({why}) and may have {most}: {} short", need - most))
     };
-    needs(plan).iter().filter_map(lacks).collect()
+    needs(plan, seed).iter().filter_map(lacks).collect()
 }
 
 /// Raises this process's limit, which its children inherit, as far as it may, and says what is still short.
 ///
 /// # Errors
 /// What needs how many descriptors, and how many are missing.
-pub fn secure(plan: &Plan) -> Result<(), String> {
+pub fn secure(plan: &Plan, seed: u64) -> Result<(), String> {
     let (_, hard) = getrlimit(Resource::RLIMIT_NOFILE).map_err(|e| e.to_string())?;
     setrlimit(Resource::RLIMIT_NOFILE, hard, hard).map_err(|e| e.to_string())?;
-    let short = short(plan, usize::try_from(hard).unwrap_or(usize::MAX));
+    let short = short(plan, seed, usize::try_from(hard).unwrap_or(usize::MAX));
     match short.is_empty() {
         true => Ok(()),
         false => Err(format!("{}\nraise the limit (ulimit -n), or make the experiment smaller", short.join("\n"))),
--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -93,7 +93,8 @@
     sites: Vec<usize>,
     reals: Vec<usize>,
     hosts: Vec<usize>,
-    links: Vec<Link>,
+    /// None where a region is neither far nor ever cut off: its members and relays connect without one.
+    links: Vec<Option<Link>>,
     real: Tally,
     /// Real proxies that were started again and have told of no version since.
     anew: Vec<bool>,
@@ -120,7 +121,7 @@
     stop: &AtomicBool,
     progress: &dyn Fn(&str, f64),
 ) -> Result<Outcome, String> {
-    need::secure(plan)?;
+    need::secure(plan, seed)?;
     let clock = Clock::start();
     let mut day = Day::open("quiet").map_err(|e| e.to_string())?;
     let listed = *plan.listed.get_ref();
@@ -182,13 +183,15 @@
         })?;
         let found = self.procs.addrs(&[self.root], &["proxies connect at ", "operators call at "])?;
         let (root, door) = (found[0][0], found[0][1]);
-        for region in 0..plan.regions() {
+        let linked = layout::linked(plan, self.seed);
+        for (region, linked) in linked.into_iter().enumerate() {
             let takes =
-                Takes { delay: layout::delay(plan, self.seed, region), jitter: plan.delay.jitter.0 };
-            let opened = link::open(&carrier.handle, root, takes, mix(self.seed, 6, region as u64));
+                Takes { delay: layout::delay(plan, self.seed, region), jitter: layout::jitter(plan, region) };
+            let open = || link::open(&carrier.handle, root, takes, mix(self.seed, 6, region as u64));
+            let opened = linked.then(open).transpose();
             self.links.push(opened.map_err(|e| format!("a link: {e}"))?);
         }
-        let links: Vec<SocketAddr> = self.links.iter().map(|l| l.addr).collect();
+        let links: Vec<SocketAddr> = self.links.iter().map(|l| l.as_ref().map_or(root, |l| l.addr)).collect();
         if plan.topology == Topology::Direct {
             let site = |n| vec![links[layout::site(plan, n).region]];
             return Ok((door, (0..plan.sites()).map(site).collect()));
@@ -449,8 +452,8 @@
                     troubles.push(why);
                 }
             }
-            Do::Cut(region) => self.links[region].cut(true),
-            Do::Heal(region) => self.links[region].cut(false),
+            Do::Cut(region) => self.links[region].iter().for_each(|link| link.cut(true)),
+            Do::Heal(region) => self.links[region].iter().for_each(|link| link.cut(false)),
         }
         match step {
             Do::Kill(role, n) => format!("{} killed", layout::name(role, n)),
