Give hollow proxies a list service of their own

Thousands that asked for one list kept the stand-in's thread busy for good, late answers being asked for again, and real proxies had no answer in time. Seen in a trial with 2,500 hollow proxies and 512 nodes on the list, on a busy machine.

--- a/crates/lab/src/scale/need.rs
+++ b/crates/lab/src/scale/need.rs
@@ -18,16 +18,18 @@
     let linked = layout::linked(plan, seed).iter().filter(|l| **l).count();
     let over_links = at_root * linked / plan.regions();
     let listed = *plan.listed.get_ref();
-    let proxies = plan.count(Role::Proxy);
-    let rig = OWN + 3 * plan.processes() + 2 * over_links + listed + proxies + plan.real() * (2 + listed);
+    let asked = *plan.asked.get_ref();
+    let proxies = if asked > 0 { plan.count(Role::Proxy) } else { 0 };
+    let rig = OWN + 3 * plan.processes() + 2 * over_links + listed + asked + proxies + plan.real() * (2 + listed);
     let mut needs = vec![
         (
             "the rig",
             rig,
             format!(
-                "{over_links} connections of two ends over links, pipes of {} children, {listed} listed nodes with \
+                "{over_links} connections of two ends over links, pipes of {} children, {} listed nodes with \
                  {} real proxies before them, {proxies} calls for lists",
                 plan.processes(),
+                listed + asked,
                 plan.real()
             ),
         ),
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -15,6 +15,8 @@
 pub const MEMBERS_MOST: usize = 20_000;
 /// Real proxies of one run at most.
 pub const REAL_MOST: usize = 64;
+/// Nodes on the list at most: what a day of the stand-in site holds.
+pub const LISTED_MOST: usize = 512;
 /// Children of the rig at most.
 pub const PROCESSES_MOST: usize = 300;
 /// Purges of one run at most.
@@ -59,7 +61,10 @@
     pub nodes: usize,
     /// Real proxies, spread likewise.
     pub real: Spanned<usize>,
-    /// Cache nodes on the list that proxies get, each a listener of the stand-in site; hollow nodes are not on it.
+    /// Cache nodes on the list that hollow proxies ask for, at a stand-in of their own; 0: they ask for none.
+    #[serde(default = "asked")]
+    pub asked: Spanned<usize>,
+    /// Cache nodes on the list that real proxies get, each a listener of a stand-in site; hollow nodes are on neither.
     #[serde(default = "listed")]
     pub listed: Spanned<usize>,
     /// Processes that the hollow members share.
@@ -99,6 +104,10 @@
     Spanned::new(0..0, 12)
 }
 
+fn asked() -> Spanned<usize> {
+    Spanned::new(0..0, 12)
+}
+
 fn hosts() -> Spanned<usize> {
     Spanned::new(0..0, 8)
 }
@@ -141,7 +150,7 @@
 pub struct Purges {
     /// How many a second, at random times; 0: none, and members take none.
     pub per_second: f64,
-    /// Publishers that make them in turn, 1 to 4.
+    /// Publishers that make them in turn, 1 to 7: the service hears eight operators at once.
     pub publishers: usize,
 }
 
@@ -315,7 +324,8 @@
         within("sites", &self.sites, self.zones(), MEMBERS_MOST);
         within("proxies", &self.proxies, 1, MEMBERS_MOST.saturating_sub(self.nodes));
         within("real", &self.real, 0, REAL_MOST);
-        within("listed", &self.listed, 1, 2000);
+        within("listed", &self.listed, 1, LISTED_MOST);
+        within("asked", &self.asked, 0, LISTED_MOST);
         within("hosts", &self.hosts, 1, 32);
         if self.processes() > PROCESSES_MOST {
             let why = format!("{} processes, of which a rig starts {PROCESSES_MOST} at most", self.processes());
@@ -326,8 +336,8 @@
         if bad(purges.per_second) || purges.per_second * length.as_secs_f64() > PURGES_MOST {
             fault(0, format!("purges.per_second: from 0, and at most {PURGES_MOST} in all"));
         }
-        if !(1..=4).contains(&purges.publishers) {
-            fault(0, "purges.publishers: from 1 to 4".into());
+        if !(1..=7).contains(&purges.publishers) {
+            fault(0, "purges.publishers: from 1 to 7".into());
         }
         if bad(changes.per_day) || changes.per_day > DAY_S || changes.burst == 0 || changes.burst > 1000 {
             fault(0, "changes: at most one a second, in bursts of 1 to 1000".into());
--- a/crates/lab/src/scale/play.rs
+++ b/crates/lab/src/scale/play.rs
@@ -127,6 +127,15 @@
     let listed = *plan.listed.get_ref();
     day = day.sized(plan.real().max(1), listed).map_err(|e| e.to_string())?;
     let site = Site::open(&day, clock, move || Recorder::nowhere(clock)).map_err(|e| format!("site: {e}"))?;
+    // Thousands that ask for one list would keep real proxies from theirs.
+    let asked = match *plan.asked.get_ref() {
+        0 => None,
+        asked => {
+            let day = day.clone().sized(1, asked).map_err(|e| e.to_string())?;
+            let site = Site::open(&day, clock, move || Recorder::nowhere(clock));
+            Some(site.map_err(|e| format!("the second site: {e}"))?)
+        }
+    };
     let links = link::Carrier::start().map_err(|e| format!("links: {e}"))?;
     let procs = Procs::new(&folder.join("processes.log"))?;
     let mut run = Run {
@@ -149,10 +158,12 @@
     progress("real proxies", 0.0);
     run.start_real(programs, folder, &day, &site, &tells)?;
     progress("hollow members", 0.0);
-    run.start_hosts(programs, &day, &site, &tells)?;
+    let list = asked.as_ref().map(|site| site.discovery[0]);
+    run.start_hosts(programs, &day, list, &tells)?;
     run.until_up(door, &day, progress)?;
     let outcome = run.schedule(door, &day, stop, progress);
     site.close();
+    asked.map(Site::close);
     outcome
 }
 
@@ -275,7 +286,7 @@
         &mut self,
         programs: &Programs,
         day: &Day,
-        site: &Site,
+        list: Option<SocketAddr>,
         tells: &[Vec<SocketAddr>],
     ) -> Result<(), String> {
         let plan = self.plan;
@@ -290,7 +301,7 @@
                 node: role == Role::Node,
                 labels: labels.iter().map(|(k, v)| ((*k).to_owned(), v.to_string())).collect(),
                 services: tells[at].clone(),
-                list: (role == Role::Proxy).then(|| site.discovery[n % site.discovery.len()]),
+                list: list.filter(|_| role == Role::Proxy),
                 place: ((plan.real() + n) as u32, all as u32),
             }
         };
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -198,6 +198,7 @@
         ("hollow_nodes", plan.nodes),
         ("real_proxies", plan.real()),
         ("listed_nodes", *plan.listed.get_ref()),
+        ("asked_nodes", *plan.asked.get_ref()),
         ("processes", outcome.processes),
     ] {
         figures.add(format!("run.{what}"), Some(n as f64), "", None);
