--- a/crates/control/tests/measure.rs
+++ b/crates/control/tests/measure.rs
@@ -6,7 +6,18 @@
     let program = env!("CARGO_BIN_EXE_aniseyoke-control");
     let script = format!("ulimit -n {limit} && exec \"$0\" \"$@\"");
     let mut command = Command::new("sh");
-    command.args(["-c", &script, program, "measure", "--versions", "1", "--routes", "5", "--proxies", proxies]);
+    command.args([
+        "-c",
+        &script,
+        program,
+        "measure",
+        "--versions",
+        "1",
+        "--routes",
+        "5",
+        "--proxies",
+        proxies,
+    ]);
     let out = command.stdin(Stdio::null()).output().expect("run");
     let text = |bytes: Vec<u8>| String::from_utf8_lossy(&bytes).into_owned();
     (out.status.success(), text(out.stdout), text(out.stderr))
--- a/crates/lab/src/cli/scale.rs
+++ b/crates/lab/src/cli/scale.rs
@@ -1,8 +1,8 @@
 //! Plays an experiment of the scale run.
 
 use super::until_interrupted;
-use aniseyoke_lab::scale::play::{self, Programs};
 use aniseyoke_lab::scale::plan::Plan;
+use aniseyoke_lab::scale::play::{self, Programs};
 use aniseyoke_lab::scale::{host, report};
 use aniseyoke_lab::trial::{find_control, find_proxy};
 use clap::Args;
@@ -67,7 +67,9 @@
         bar.set_position((part * 1000.0) as u64);
     };
     let processes = out.join("processes");
-    std::fs::create_dir_all(&processes).map_err(|e| format!("{}: {e}", processes.display()))?;
+    // Danger: a control service that finds the log of an earlier run answers purges as those that it numbered then.
+    std::fs::create_dir(&processes)
+        .map_err(|e| format!("{}: {e}; a run wants a new folder", processes.display()))?;
     let outcome = play::run(&plan, args.seed, &programs, &processes, &until_interrupted(), &progress);
     bar.finish_and_clear();
     let outcome = outcome?;
--- a/crates/lab/src/scale/layout.rs
+++ b/crates/lab/src/scale/layout.rs
@@ -65,3 +65,6 @@
     let away = |region| !(delay(plan, seed, region) + jitter(plan, region)).is_zero();
     (0..plan.regions()).map(|region| away(region) || cut(region)).collect()
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/scale/need.rs
+++ b/crates/lab/src/scale/need.rs
@@ -20,7 +20,8 @@
     let listed = *plan.listed.get_ref();
     let asked = *plan.asked.get_ref();
     let proxies = if asked > 0 { plan.count(Role::Proxy) } else { 0 };
-    let rig = OWN + 3 * plan.processes() + 2 * over_links + listed + asked + proxies + plan.real() * (2 + listed);
+    let rig =
+        OWN + 3 * plan.processes() + 2 * over_links + listed + asked + proxies + plan.real() * (2 + listed);
     let mut needs = vec![
         (
             "the rig",
@@ -55,7 +56,9 @@
 /// What is short, if each process may hold `most`: each with what it needs and how much is missing.
 pub fn short(plan: &Plan, seed: u64, most: usize) -> Vec<String> {
     let lacks = |(who, need, why): &(&str, usize, String)| {
-        (*need > most).then(|| format!("{who} needs {need} descriptors ({why}) and may have {most}: {} short", need - most))
+        (*need > most).then(|| {
+            format!("{who} needs {need} descriptors ({why}) and may have {most}: {} short", need - most)
+        })
     };
     needs(plan, seed).iter().filter_map(lacks).collect()
 }
@@ -70,6 +73,11 @@
     let short = short(plan, seed, usize::try_from(hard).unwrap_or(usize::MAX));
     match short.is_empty() {
         true => Ok(()),
-        false => Err(format!("{}\nraise the limit (ulimit -n), or make the experiment smaller", short.join("\n"))),
+        false => {
+            Err(format!("{}\nraise the limit (ulimit -n), or make the experiment smaller", short.join("\n")))
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lab/src/scale/plan.rs
+++ b/crates/lab/src/scale/plan.rs
@@ -328,7 +328,8 @@
         within("asked", &self.asked, 0, LISTED_MOST);
         within("hosts", &self.hosts, 1, 32);
         if self.processes() > PROCESSES_MOST {
-            let why = format!("{} processes, of which a rig starts {PROCESSES_MOST} at most", self.processes());
+            let why =
+                format!("{} processes, of which a rig starts {PROCESSES_MOST} at most", self.processes());
             fault(self.sites.span().start, why);
         }
         let bad = |n: f64| !n.is_finite() || n < 0.0;
--- a/crates/lab/src/scale/plan/tests.rs
+++ b/crates/lab/src/scale/plan/tests.rs
@@ -77,7 +77,9 @@
     };
     assert!(one("regions = 4", "regions = 0").starts_with("p.toml:4:11: regions = 0"));
     assert!(one("\"1m\"", "\"90m\"").starts_with("p.toml:2:10: length: more than nothing"));
-    assert!(one("role = \"site-relay\"", "role = \"rack\"").starts_with("p.toml:25:8: unknown variant `rack`"));
+    assert!(
+        one("role = \"site-relay\"", "role = \"rack\"").starts_with("p.toml:25:8: unknown variant `rack`")
+    );
     assert!(one("which = [3]", "which = [0]").contains("the first region"));
     assert!(one("sites = 16", "sites = 4").starts_with("p.toml:6:9: sites = 4: from 8"));
     assert!(one("sites = 16", "sites = 300").contains("processes, of which a rig starts 300"));
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -84,7 +84,7 @@
 impl Figures {
     fn add(&mut self, name: impl Into<String>, value: Option<f64>, unit: &'static str, limit: Option<f64>) {
         if let Some(value) = value.filter(|v| v.is_finite()) {
-            self.0.push(Figure { name: name.into(), value: (value * 1e4).round() / 1e4, unit, limit });
+            self.0.push(Figure { name: name.into(), value: (value * 1e6).round() / 1e6, unit, limit });
         }
     }
 
@@ -117,7 +117,8 @@
     }
 
     fn traffic(&mut self, who: &str, all: &[Traffic], seconds: f64, limit: Option<f64>) {
-        let each = |of: fn(&Traffic) -> u64| -> Vec<f64> { all.iter().map(|t| of(t) as f64 / seconds).collect() };
+        let each =
+            |of: fn(&Traffic) -> u64| -> Vec<f64> { all.iter().map(|t| of(t) as f64 / seconds).collect() };
         let (payload, whole) = (each(Traffic::payload), each(Traffic::with_headers));
         let frames = each(|t| t.frames_in + t.frames_out);
         self.add(format!("{who}.bytes.mean"), mean(&payload), "B/s", limit);
@@ -234,8 +235,7 @@
     }
     figures.add("hollow.flushes", Some(outcome.hollow.flushes as f64), "", None);
     figures.add("hollow.connections_made", Some(outcome.hollow.connects as f64), "", None);
-    let scale =
-        Scale { name: name.to_owned(), plan: file.to_owned(), seed, seconds, figures: figures.0 };
+    let scale = Scale { name: name.to_owned(), plan: file.to_owned(), seed, seconds, figures: figures.0 };
     Judged { complete, scale, took: [purges, changes], troubles }
 }
 
@@ -254,13 +254,20 @@
             Some(limit) => format!("  of {limit}"),
             None => String::new(),
         };
-        let _ = writeln!(text, "  {:<52}{:>14.3} {:<6}{against}", figure.name, figure.value, figure.unit);
+        let digits = if figure.value.abs() < 0.1 { 6 } else { 3 };
+        let value = format!("{:.digits$}", figure.value);
+        let _ = writeln!(text, "  {:<52}{value:>14} {:<6}{against}", figure.name, figure.unit);
     }
     for trouble in &judged.troubles {
         let _ = writeln!(text, "{trouble}");
     }
-    let verdict = if judged.complete { "complete" } else { "NOT COMPLETE" };
-    let _ = writeln!(text, "{verdict}: everything made in force everywhere, no child ended by itself");
+    let verdict = match judged.complete {
+        true => "complete: everything due was made and in force everywhere, and no child ended by itself",
+        false => {
+            "NOT COMPLETE: something due was not made or not in force everywhere, or a child ended by itself"
+        }
+    };
+    let _ = writeln!(text, "{verdict}");
     text
 }
 
--- /dev/null
+++ b/crates/lab/tests/scale.rs
@@ -0,0 +1,123 @@
+//! The scale run at its small size: what it says of completeness is the same each time; of speed nothing is claimed.
+
+use serde_json::Value;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+fn lab(args: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_aniseyoke-lab"));
+    command.args(args).output().expect("run")
+}
+
+fn small() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/scale-small.toml")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn a_small_fleet_has_everything_in_force_everywhere_through_kills_and_a_cut() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().join("out");
+    let plan = small();
+    let run =
+        lab(&["scale", "--plan", plan.to_str().expect("a path"), "--out", out.to_str().expect("a path")]);
+    let told = format!("{}{}", text(&run.stdout), text(&run.stderr));
+    assert!(run.status.success(), "{told}");
+    let json = std::fs::read_to_string(out.join("scale.json")).expect("scale.json");
+    let scale: Value = serde_json::from_str(&json).expect("JSON");
+    let value = |name: &str| {
+        let figures = scale["figures"].as_array().expect("figures");
+        let found = figures.iter().find(|f| f["name"] == name);
+        found.unwrap_or_else(|| panic!("no figure {name}"))["value"].as_f64().expect("a number")
+    };
+    assert_eq!((scale["name"].as_str(), scale["seed"].as_u64()), (Some("scale-small"), Some(1)));
+    assert_eq!(value("run.complete"), 1.0, "{told}");
+    assert_eq!(value("purge.made"), value("purge.due"), "{told}");
+    assert!(value("purge.due") > 150.0);
+    assert_eq!(value("purge.not_done_everywhere"), 0.0, "{told}");
+    assert_eq!(value("change.not_done_everywhere"), 0.0, "{told}");
+    assert_eq!((value("change.made"), value("real.count")), (6.0, 3.0));
+    // A cut of three seconds is seen, as is what every member got.
+    assert!(value("purge.done_everywhere.most") >= 1000.0, "{told}");
+    assert!(value("hollow_proxy.control.bytes.mean") > 0.0 && value("hollow_proxy.list.bytes.mean") > 0.0);
+    assert!(value("real.core.most") > 0.0 && value("site_relay.memory.most") > 0.0);
+    let plot = std::fs::read_to_string(out.join("scale.svg")).expect("scale.svg");
+    assert!(plot.contains("</svg>"));
+    // A second run into the same folder would find the log of the first.
+    let again =
+        lab(&["scale", "--plan", plan.to_str().expect("a path"), "--out", out.to_str().expect("a path")]);
+    assert_eq!(again.status.code(), Some(2));
+    assert!(text(&again.stderr).contains("a run wants a new folder"), "{}", text(&again.stderr));
+}
+
+#[test]
+fn a_limit_of_descriptors_that_is_too_low_is_one_clear_error() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let script = "ulimit -n 150 && exec \"$0\" \"$@\"";
+    let mut command = Command::new("sh");
+    command.args(["-c", script, env!("CARGO_BIN_EXE_aniseyoke-lab"), "scale", "--plan"]).arg(small());
+    command.arg("--out").arg(folder.path().join("out"));
+    let run = command.output().expect("run");
+    let told = text(&run.stderr);
+    assert_eq!(run.status.code(), Some(2), "{told}");
+    assert!(
+        told.contains("the rig needs ") && told.contains("may have 150") && told.contains(" short"),
+        "{told}"
+    );
+}
+
+#[test]
+fn every_experiment_is_sound_and_its_schedule_is_the_same_each_time() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
+    let mut found = 0;
+    for entry in std::fs::read_dir(folder).expect("experiments") {
+        let path = entry.expect("an entry").path();
+        let name = path.file_name().map(|n| n.to_string_lossy().into_owned()).unwrap_or_default();
+        if name.starts_with("scale-") {
+            found += 1;
+            let check =
+                || lab(&["scale", "--check", "--seed", "7", "--plan", path.to_str().expect("a path")]);
+            let (one, two) = (check(), check());
+            assert!(one.status.success(), "{}", text(&one.stderr));
+            assert_eq!(one.stdout, two.stdout);
+        }
+    }
+    assert!(found >= 4, "{found}");
+}
+
+#[test]
+fn children_die_with_a_rig_that_is_killed_outright() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_aniseyoke-lab"));
+    command.args(["scale", "--plan"]).arg(small()).arg("--out").arg(folder.path().join("out"));
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    let mut rig = command.spawn().expect("started");
+    let list = format!("/proc/{0}/task/{0}/children", rig.id());
+    let until = Instant::now() + Duration::from_secs(120);
+    // Service, three regions, six sites, three proxies, two hosts; under cargo, programs are built first.
+    let children = loop {
+        let text = std::fs::read_to_string(&list).expect("the rig runs");
+        let children: Vec<u32> = text.split_whitespace().filter_map(|pid| pid.parse().ok()).collect();
+        if children.len() == 15 {
+            break children;
+        }
+        assert!(Instant::now() < until, "{} children", children.len());
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    rig.kill().expect("killed");
+    rig.wait().expect("gone");
+    let until = Instant::now() + Duration::from_secs(20);
+    let runs = |pid: &u32| {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        // One that waits for somebody to take its end in has ended.
+        stat.rsplit(") ").next().is_some_and(|rest| !rest.is_empty() && !rest.starts_with('Z'))
+    };
+    while children.iter().any(runs) {
+        assert!(Instant::now() < until, "{children:?}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
