--- a/crates/lab/src/cli/slopes.rs
+++ b/crates/lab/src/cli/slopes.rs
@@ -1,7 +1,7 @@
 //! Measures slopes.
 
 use aniseyoke_lab::slopes::{called, keep, measure, Setup, Slope};
-use aniseyoke_lab::trial::{find_program, find_proxy};
+use aniseyoke_lab::trial::{find_control, find_proxy};
 use clap::Args;
 use std::path::PathBuf;
 
@@ -47,7 +47,7 @@
     }
     let setup = Setup {
         proxy: find_proxy(args.proxy.clone())?,
-        control: find_program(args.control.clone(), "aniseyoke-control", "aniseyoke-control")?,
+        control: find_control(args.control.clone())?,
         shared: args.shared,
     };
     for family in families {
--- a/crates/lab/src/trial/mod.rs
+++ b/crates/lab/src/trial/mod.rs
@@ -12,7 +12,7 @@
 pub use recovery::Recovery;
 pub use report::{Line, Percentiles, Report};
 pub(crate) use subject::tie;
-pub use subject::{find_file, find_program, find_proxy, Log, Program, Running, Subject};
+pub use subject::{find_control, find_file, find_proxy, Log, Program, Running, Subject};
 pub use sweep::{plot, sweep, Curve, Point};
 pub use usage::Usage;
 
--- a/crates/lab/src/trial/subject.rs
+++ b/crates/lab/src/trial/subject.rs
@@ -242,20 +242,28 @@
     named.canonicalize().map_err(|e| format!("{}: {e}", named.display()))
 }
 
-/// Finds the proxy's program, as [`find_program`].
+/// Finds the proxy's program, built and found beside this program.
 ///
 /// # Errors
-/// As [`find_program`].
+/// Says where it looked.
 pub fn find_proxy(named: Option<PathBuf>) -> Result<PathBuf, String> {
     find_program(named, "aniseyoke", "aniseyoke")
 }
 
+/// Finds the control service's program, built and found beside this program.
+///
+/// # Errors
+/// Says where it looked.
+pub fn find_control(named: Option<PathBuf>) -> Result<PathBuf, String> {
+    find_program(named, "aniseyoke-control", "aniseyoke-control")
+}
+
 /// Finds a program of this workspace: the one named, or the one beside this program. Under cargo it is built first, in
 /// the same profile, so that what is tried is the code as it stands.
 ///
 /// # Errors
 /// Says where it looked.
-pub fn find_program(named: Option<PathBuf>, package: &str, name: &str) -> Result<PathBuf, String> {
+fn find_program(named: Option<PathBuf>, package: &str, name: &str) -> Result<PathBuf, String> {
     if let Some(path) = named {
         return path.is_file().then_some(path.clone()).ok_or(format!("{}: no such file", path.display()));
     }
