Save no more of a cold node's budget than the rule leaves beside a span's income

A proxy could save a whole span's part and earn another while it spent it: with 30 proxies and keys that turn hot at a cold node 1,660 requests came in a span where N is 1,320 and the bound 1,395.

--- a/crates/decision/src/logic/health.rs
+++ b/crates/decision/src/logic/health.rs
@@ -127,9 +127,10 @@
         let part = 1.0 / s.inverse_weight / self.roster.total_weight.max(1e-9);
         let bears = COLD_BUDGET * self.settings.fall_multiple * warmth * part;
         let rate = bears * self.traffic.rate(now).min(self.traffic.served_rate());
-        let window = self.settings.fall as f64 / SECOND as f64;
+        // Danger: when keys move, what is saved is spent beside a span's income: both make up the budget.
+        let saved = (1.0 / COLD_BUDGET - 1.0) * rate * seconds(0, self.settings.fall);
         let s = &mut self.roster.servers[i as usize];
-        let allowed = s.sends.earn(now, rate, (rate * window).max(1.0)) >= 1.0;
+        let allowed = s.sends.earn(now, rate, saved.max(1.0)) >= 1.0;
         s.sends.left -= f64::from(u8::from(allowed && take));
         allowed
     }
