--- a/crates/lab/src/capacity/mod.rs
+++ b/crates/lab/src/capacity/mod.rs
@@ -222,7 +222,11 @@
     format!("{sign}{out}")
 }
 
+/// The part of a limit that is used; none of a limit of 0.
 fn percent(value: f64, limit: f64) -> String {
+    if limit == 0.0 {
+        return "-".into();
+    }
     format!("{}%", short(100.0 * value / limit))
 }
 
