--- a/crates/lab/src/scale/lists.rs
+++ b/crates/lab/src/scale/lists.rs
@@ -1,10 +1,10 @@
-//! A hollow proxy's calls for the list of cache nodes, at its own moments as `aniseyoke-pace` gives them.
+//! A hollow proxy's calls for the list of cache nodes, in its own slots as `aniseyoke-pace` gives them.
 
 use super::member::{Shared, Traffic};
 use super::now;
 use crate::clock::SECOND;
-use aniseyoke_pace::asks::Rules;
-use aniseyoke_pace::{Asks, Place};
+use aniseyoke_pace::polls::Rules;
+use aniseyoke_pace::{Place, Polls};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -19,27 +19,28 @@
 
 /// Asks for good; `place`: which of how many proxies.
 pub async fn ask(n: usize, place: (u32, u32), every: u64, addr: SocketAddr, shared: Rc<Shared>) {
-    let rules = Rules { every, back_off_most: 10 * SECOND, answer: SECOND, answer_most: 8 * SECOND };
+    let rules =
+        Rules { every, back_off_most: 10 * SECOND, answer: SECOND, answer_most: 8 * SECOND }.bounded();
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_nanos() as u64);
-    let mut asks = Asks::new(rules, Place::new(place.0, place.1), unix, now());
+    let mut polls = Polls::new(rules, Place::new(place.0, place.1), unix, now());
     let (mut stream, mut version) = (None, None);
     loop {
         let at = now();
-        sleep(Duration::from_nanos(asks.due(at).saturating_sub(at))).await;
+        sleep(Duration::from_nanos(polls.due(at).saturating_sub(at))).await;
         let at = now();
-        asks.asked(at);
-        let hold = version.map_or(0, |_| asks.hold(at));
-        let within = Duration::from_nanos(hold + asks.answer_within());
+        polls.polled(at);
+        let hold = version.map_or(0, |_| polls.hold(at));
+        let within = Duration::from_nanos(polls.limit(at, hold));
         match timeout(within, call(stream.take(), addr, version, hold / 1_000_000)).await {
             Ok(Ok((kept, told, traffic))) => {
                 (stream, version) = (Some(kept), told.or(version));
-                asks.answered();
+                polls.answered();
                 let mut sum = shared.lists[n].get();
                 sum.add(&traffic);
                 shared.lists[n].set(sum);
             }
-            Ok(Err(_)) => asks.failed(now()),
-            Err(_) => asks.late(now()),
+            Ok(Err(_)) => polls.failed(now()),
+            Err(_) => polls.late(now()),
         }
     }
 }
--- a/crates/lab/src/slopes/control.rs
+++ b/crates/lab/src/slopes/control.rs
@@ -268,7 +268,9 @@
         match self.calls.block_on(call(self.service.operators, &publish))? {
             ToOperator::Published { .. } => Ok(at),
             ToOperator::No { why } => Err(why),
-            ToOperator::Status { .. } => Err("the service answered another call".into()),
+            ToOperator::Status { .. } | ToOperator::Purging { .. } | ToOperator::Purges { .. } => {
+                Err("the service answered another call".into())
+            }
         }
     }
 
@@ -353,6 +355,7 @@
         labels: BTreeMap::new(),
         frame_most: FRAME_MOST,
         running: None,
+        purges: None,
     };
     stream.write_all(&bytes(hello)?).await?;
     // Who opens the fleet may have given up.
