Add aniseyoke-lab soak: seeded restarts under load, killed at the earliest time allowed

Need: the users' list of failures has come from single crossings at a stop; what no test thought of was played by nobody.

Change: crate lab-soak on the laboratory's site, load, auditor and processes; no second load tool. A seed decides proxies, classes and deadlines, nodes that hang (some or all, around the stop) or drain, a crowd past the descriptors, SIGTERM two to four times within 10 ms to 0.9 s with SIGHUP around it, handover or a start behind the end. SIGKILL comes at the longest deadline (3 s at most) and 0.7 s.

--- a/crates/lab-load/src/client.rs
+++ b/crates/lab-load/src/client.rs
@@ -2,6 +2,7 @@
 
 use super::arrivals::{self, Arrival, ClientBehavior};
 use super::stats::{LoadStats, Outcome};
+use super::LoadOptions;
 use aniseyoke_lab_audit::{Observation, Recorder};
 use aniseyoke_lab_day::clock::{nanos, Clock, Nanos, MILLISECOND};
 use aniseyoke_lab_day::{Class, Day, Idempotency};
@@ -18,8 +19,6 @@
 use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::Xxh3Default;
 
-/// A client waits this much longer than it announces before it gives up: for the network, and the lateness of this machine.
-const GRACE: Duration = Duration::from_millis(150);
 /// A connection that is not established by then is given up.
 const CONNECT_WITHIN: Duration = Duration::from_millis(1000);
 /// The wait before the next attempt to connect.
@@ -51,6 +50,8 @@
     /// Requests in flight.
     pub in_flight: Cell<usize>,
     idle: RefCell<VecDeque<Connection>>,
+    /// A client waits this much longer than it announces before it gives up.
+    grace: Duration,
     /// Limits the connections in use at once.
     connection_slots: Semaphore,
 }
@@ -81,14 +82,14 @@
 }
 
 impl Clients {
-    /// Clients of a day that begins at `from`, over at most `connections` connections at once.
+    /// Clients of a day that begins at `from`, by these options.
     pub fn new(
         day: &Day,
         clock: Clock,
         from: Nanos,
         load_balancer: Arc<LoadBalancer>,
         recorder: Recorder,
-        connections: usize,
+        options: LoadOptions,
     ) -> Rc<Self> {
         Rc::new(Clients {
             day: day.clone(),
@@ -99,7 +100,8 @@
             stats: RefCell::new(LoadStats::new(day)),
             in_flight: Cell::new(0),
             idle: RefCell::default(),
-            connection_slots: Semaphore::new(connections),
+            grace: options.grace,
+            connection_slots: Semaphore::new(options.connections),
         })
     }
 
@@ -266,7 +268,7 @@
         }
         let slow = arrival.behavior == ClientBehavior::SlowReader;
         http.read_pace = slow.then_some(SLOW_READER);
-        let grace = if slow { GRACE + SLOW_GRACE } else { GRACE };
+        let grace = if slow { self.grace + SLOW_GRACE } else { self.grace };
         let partial = Cell::new(false);
         let read = timeout(Duration::from_nanos(patience) + grace, read(http, &partial)).await;
         http.read_pace = None;
--- a/crates/lab-load/src/lib.rs
+++ b/crates/lab-load/src/lib.rs
@@ -34,6 +34,23 @@
 /// A closed idle connection is opened again after this time.
 const REOPEN_IDLE_AFTER: Duration = Duration::from_secs(1);
 
+/// How a load is sent.
+#[derive(Clone, Copy, Debug)]
+pub struct LoadOptions {
+    /// Connections in use at once at most.
+    pub connections: usize,
+    /// A client waits this much longer than it announces before it gives up: for the network, and the lateness of this
+    /// machine.
+    pub grace: Duration,
+}
+
+impl LoadOptions {
+    /// Over so many connections, with the usual grace.
+    pub fn over(connections: usize) -> Self {
+        LoadOptions { connections, grace: Duration::from_millis(150) }
+    }
+}
+
 /// The progress of a running load, for others to read.
 #[derive(Default)]
 pub struct Progress {
@@ -53,7 +70,7 @@
 }
 
 impl Load {
-    /// Starts the load of a day at `from` on the clock, over at most `connections` connections at once.
+    /// Starts the load of a day at `from` on the clock, by these options.
     ///
     /// # Errors
     /// If the system lacks threads.
@@ -62,7 +79,7 @@
         clock: Clock,
         from: Nanos,
         load_balancer: Arc<LoadBalancer>,
-        connections: usize,
+        options: LoadOptions,
         recorder: impl FnOnce() -> Recorder + Send + 'static,
     ) -> io::Result<Load> {
         let progress = Arc::<Progress>::default();
@@ -73,7 +90,7 @@
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
         let (day, counted) = (day.clone(), progress.clone());
         let run = move || {
-            let clients = Clients::new(&day, clock, from, load_balancer, recorder(), connections);
+            let clients = Clients::new(&day, clock, from, load_balancer, recorder(), options);
             let local = tokio::task::LocalSet::new();
             local.block_on(&runtime, release(clients.clone(), from, arrivals, counted));
             drop(local);
--- a/crates/lab-load/src/summary.rs
+++ b/crates/lab-load/src/summary.rs
@@ -56,6 +56,7 @@
 }
 
 /// What the clients counted, summarized.
+#[derive(Clone, Debug, Serialize)]
 pub struct LoadSummary {
     /// Over all requests.
     pub all: OutcomeSummary,
--- a/crates/lab-process/src/error.rs
+++ b/crates/lab-process/src/error.rs
@@ -30,6 +30,9 @@
         /// The path of this program.
         beside: PathBuf,
     },
+    /// The listening socket that a child is to inherit can't be copied.
+    #[error("listening socket: {0}")]
+    Listener(#[source] io::Error),
     /// The child has no standard error to read from.
     #[error("no standard error")]
     NoStandardError,
--- a/crates/lab-process/src/program.rs
+++ b/crates/lab-process/src/program.rs
@@ -6,7 +6,8 @@
 use serde_json::Value;
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError};
@@ -23,6 +24,9 @@
 /// The variable that names a proxy's operator file.
 const OPERATOR_FILE_VARIABLE: &str = "ANISEYOKE_FILE";
 
+/// The variable that names the descriptor of an inherited listening socket.
+const LISTENER_VARIABLE: &str = "PROXY_FD";
+
 /// The variable that makes a proxy's wall clock wrong.
 const CLOCK_VARIABLE: &str = "ANISEYOKE_CLOCK";
 
@@ -34,6 +38,8 @@
     pub args: Vec<String>,
     /// The operator file that it is to read, if any.
     pub operator: Option<PathBuf>,
+    /// The listening socket that each proxy inherits, by number; it opens its own where there is none.
+    pub listeners: Vec<TcpListener>,
     /// By how much each proxy's wall clock is wrong, by number; right where there is none.
     pub clock_offsets: Vec<Option<String>>,
     /// Whether a child is killed when the thread that started it ends, also when this process is killed.
@@ -49,6 +55,7 @@
             path,
             args: Vec::new(),
             operator: None,
+            listeners: Vec::new(),
             clock_offsets: Vec::new(),
             kill_with_parent: false,
             log: None,
@@ -90,6 +97,10 @@
         let offset = self.clock_offsets.get(index).and_then(Option::as_ref);
         command.envs(offset.map(|offset| (CLOCK_VARIABLE, offset)));
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+        if let Some(listener) = self.listeners.get(index) {
+            let copy = listener.try_clone().map_err(ProcessError::Listener)?;
+            command.env(LISTENER_VARIABLE, "0").stdin(Stdio::from(OwnedFd::from(copy)));
+        }
         if self.kill_with_parent {
             kill_with_parent(&mut command);
         }
--- a/crates/lab-rig/src/play.rs
+++ b/crates/lab-rig/src/play.rs
@@ -9,7 +9,7 @@
 use aniseyoke_lab_audit::{Evidence, Observation, Recorder, Verdict};
 use aniseyoke_lab_day::clock::{Clock, Nanos, MILLISECOND};
 use aniseyoke_lab_day::{proxy_config, Day};
-use aniseyoke_lab_load::{Load, LoadStats, LoadSummary, OUTCOMES};
+use aniseyoke_lab_load::{Load, LoadOptions, LoadStats, LoadSummary, OUTCOMES};
 use aniseyoke_lab_process::{check_health, raise_descriptor_limit, ProcessLog, Program};
 use aniseyoke_lab_site::{Health, LoadBalancer, Route, Site, SiteCounts, SiteOptions};
 use std::collections::BTreeMap;
@@ -109,8 +109,8 @@
         let (clock, evidence) = (self.clock, self.evidence.clone());
         let from = clock.now() + START_DELAY;
         let recorder = move || Recorder::new(clock, evidence);
-        let load =
-            Load::start(day, clock, from, load_balancer, connections, recorder).map_err(RigError::Load)?;
+        let load = Load::start(day, clock, from, load_balancer, LoadOptions::over(connections), recorder)
+            .map_err(RigError::Load)?;
         Ok((from, load))
     }
 
--- /dev/null
+++ b/crates/lab-soak/src/connection_ends.rs
@@ -0,0 +1,56 @@
+//! What proxies log of the ends of their clients' connections: the proxies' own account of what they have read.
+
+use serde::Serialize;
+
+/// Ends of connections in a log, counted.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ConnectionEnds {
+    /// All of them.
+    pub ended: u64,
+    /// Those on which a request was read and not answered, as they were logged.
+    pub unanswered: Vec<String>,
+    /// Those that were closed with bytes unread.
+    pub unread: u64,
+}
+
+impl ConnectionEnds {
+    /// Counts the ends in a log.
+    pub fn count(log: &str) -> Self {
+        let mut ends = ConnectionEnds::default();
+        for line in log.lines() {
+            let Some(end) = parse(line) else { continue };
+            ends.ended += 1;
+            ends.unread += u64::from(end.unread_bytes > 0);
+            if end.requests > end.answered || (end.partial_bytes > 0 && !end.partial_allowed) {
+                ends.unanswered.push(line.to_owned());
+            }
+        }
+        ends
+    }
+}
+
+struct End {
+    requests: u64,
+    answered: u64,
+    partial_bytes: u64,
+    /// The part of a request was refused, or its client ended the connection itself.
+    partial_allowed: bool,
+    unread_bytes: u64,
+}
+
+/// `ADDRESS closed (WHY): N requests read, N answered, N bytes of another[ refused], N bytes unread`.
+fn parse(line: &str) -> Option<End> {
+    let (_, rest) = line.split_once(" closed (")?;
+    let (reason, counts) = rest.rsplit_once("): ")?;
+    let mut parts = counts.split(", ");
+    let mut next = || {
+        let part = parts.next()?;
+        Some((part.split(' ').next()?.parse::<u64>().ok()?, part))
+    };
+    let (requests, _) = next()?;
+    let (answered, _) = next()?;
+    let (partial_bytes, partial) = next()?;
+    let (unread_bytes, _) = next()?;
+    let partial_allowed = partial.ends_with("refused") || reason.starts_with("ended by its client");
+    Some(End { requests, answered, partial_bytes, partial_allowed, unread_bytes })
+}
--- /dev/null
+++ b/crates/lab-soak/src/tests.rs
@@ -0,0 +1,68 @@
+//! What a seed decides, and what is read from the proxies' log.
+
+use crate::batch::parse_seeds;
+use crate::connection_ends::ConnectionEnds;
+use crate::plan::{SignalKind, SoakPlan, Succession};
+use crate::verdict::ProcessEnd;
+
+#[test]
+fn a_seed_decides_the_whole_plan_and_keeps_to_the_terms() {
+    for seed in 0..500 {
+        let plan = SoakPlan::draw(seed);
+        let again = SoakPlan::draw(seed);
+        assert_eq!(serde_json::to_value(&plan).expect("JSON"), serde_json::to_value(&again).expect("JSON"));
+        assert!(plan.kill_after().as_millis() <= 3700, "seed {seed}: {plan:?}");
+        for restart in &plan.restarts {
+            let terminates: Vec<i64> =
+                restart.signals.iter().filter(|s| s.kind == SignalKind::Terminate).map(|s| s.at_ms).collect();
+            assert_eq!(terminates[0], 0, "seed {seed}: {restart:?}");
+            assert!(
+                (2..=4).contains(&terminates.len())
+                    && terminates[1..].iter().all(|at| (10..=900).contains(at))
+            );
+        }
+        assert!(plan.succession == Succession::Handover || plan.restarts.len() > 1, "seed {seed}: {plan:?}");
+        plan.day().expect("a sound day");
+    }
+    let plans: Vec<SoakPlan> = (0..50).map(SoakPlan::draw).collect();
+    assert!(plans.iter().any(|plan| plan.crowd > 0) && plans.iter().any(|plan| plan.crowd == 0));
+    assert!(plans.iter().any(|plan| plan.longest_deadline_ms < 1000));
+    assert!(plans.iter().any(|plan| plan.succession == Succession::AfterEnd));
+}
+
+#[test]
+fn a_request_that_was_read_and_not_answered_shows_in_the_log() {
+    let log = "     1.0 p0[7] aniseyoke: 127.0.0.1:4 closed (idle): 2 requests read, 2 answered, 0 bytes of another, 0 bytes unread
+     1.1 p0[7] aniseyoke: 127.0.0.1:5 closed (displaced): 2 requests read, 1 answered, 0 bytes of another, 0 bytes unread
+     1.2 p0[7] aniseyoke: 127.0.0.1:6 closed (its head is overdue): 0 requests read, 0 answered, 20 bytes of another refused, 0 bytes unread
+     1.3 p0[7] aniseyoke: 127.0.0.1:7 closed (idle): 0 requests read, 0 answered, 20 bytes of another, 0 bytes unread
+     1.4 p0[7] aniseyoke: 127.0.0.1:8 closed (ended by its client or with an answer): 0 requests read, 0 answered, 20 bytes of another, 0 bytes unread
+     1.5 p0[7] aniseyoke: 127.0.0.1:9 closed (displaced): 1 requests read, 1 answered, 0 bytes of another, 90 bytes unread
+     1.6 p0[7] aniseyoke: draining";
+    let ends = ConnectionEnds::count(log);
+    assert_eq!((ends.ended, ends.unread), (6, 1));
+    let ports: Vec<bool> =
+        [":5 ", ":7 "].iter().zip(&ends.unanswered).map(|(port, line)| line.contains(port)).collect();
+    assert_eq!((ends.unanswered.len(), ports), (2, vec![true, true]));
+}
+
+#[test]
+fn only_an_end_with_success_and_before_the_kill_is_clean() {
+    let end = |status: Option<&str>| ProcessEnd { proxy: 0, after_s: 1.0, status: status.map(str::to_owned) };
+    assert!(end(Some("exit status: 0")).is_clean());
+    for status in
+        [None, Some("exit status: 1"), Some("signal: 15 (SIGTERM)"), Some("exit status: 0 before SIGTERM")]
+    {
+        assert!(!end(status).is_clean(), "{status:?}");
+    }
+}
+
+#[test]
+fn seeds_are_a_range_or_one() {
+    assert_eq!(parse_seeds("3..7").expect("a range"), 3..=7);
+    assert_eq!(parse_seeds("5").expect("one"), 5..=5);
+    for bad in ["", "7..3", "a..b", "1..", "-1..2", "1..18446744073709551615"] {
+        let error = parse_seeds(bad).expect_err("no seeds").to_string();
+        assert!(error.contains(&format!("{bad:?}")), "{error}");
+    }
+}
--- a/crates/lab-trial/src/lib.rs
+++ b/crates/lab-trial/src/lib.rs
@@ -17,7 +17,7 @@
 use aniseyoke_lab_audit::{Evidence, Observation, Recorder};
 use aniseyoke_lab_day::clock::{Clock, Nanos, MILLISECOND};
 use aniseyoke_lab_day::{proxy_config, Day};
-use aniseyoke_lab_load::Load;
+use aniseyoke_lab_load::{Load, LoadOptions};
 use aniseyoke_lab_process::{raise_descriptor_limit, ProxyLauncher};
 use aniseyoke_lab_site::{LoadBalancer, Site};
 use proxies::Proxies;
@@ -72,7 +72,7 @@
     let connections = (day.site.proxy.sockets * day.site.proxy.count / CLIENTS_DIVISOR).max(1);
     let from = clock.now() + START_DELAY;
     let recorder = move || Recorder::new(clock, load_out);
-    let load = Load::start(day, clock, from, load_balancer.clone(), connections, recorder)
+    let load = Load::start(day, clock, from, load_balancer.clone(), LoadOptions::over(connections), recorder)
         .map_err(TrialError::Load)?;
     site.begin();
     let record = |observed| {
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -7,13 +7,14 @@
 mod scale;
 mod sim;
 mod slopes;
+mod soak;
 mod trial;
 mod versions;
 
 use aniseyoke_lab_audit::Recorder;
 use aniseyoke_lab_day::clock::{Clock, MILLISECOND};
 use aniseyoke_lab_day::{proxy_config, Day, FileError, BUILTIN};
-use aniseyoke_lab_load::{Load, Percentiles};
+use aniseyoke_lab_load::{Load, LoadOptions, Percentiles};
 use aniseyoke_lab_site::{LoadBalancer, Site};
 use clap::{Args, Parser, Subcommand};
 use error::CliError;
@@ -45,6 +46,8 @@
     Sim(sim::SimArgs),
     /// Play an experiment of the fault rig: real proxies, relays on every link, faults by a schedule.
     Chaos(chaos::ChaosArgs),
+    /// Restart real proxies under load, as seeds decide: signals in series, crowds, hanging nodes, the earliest kill.
+    Soak(soak::SoakArgs),
     /// Play a scale experiment: real proxies beside hollow ones, purges and changes, before one control service or relays.
     Scale(scale::ScaleArgs),
     /// Publish versions of the configuration to a fleet of real proxies, and measure what they take.
@@ -157,6 +160,7 @@
         Command::Keeper(args) => memcached_server::run(&args),
         Command::Sim(args) => sim::run(&args),
         Command::Chaos(args) => chaos::run(&args),
+        Command::Soak(args) => soak::run(&args),
         Command::Versions(args) => versions::run(&args),
         Command::Slopes(args) => slopes::run(&args),
         Command::Capacity(args) => capacity::run(&args),
@@ -277,7 +281,7 @@
         clock,
         clock.now() + 10 * MILLISECOND,
         load_balancer,
-        args.connections,
+        LoadOptions::over(args.connections),
         move || Recorder::discarding(clock),
     )
     .map_err(CliError::Load)?;
--- a/crates/lab/src/cli/error.rs
+++ b/crates/lab/src/cli/error.rs
@@ -8,6 +8,7 @@
 use aniseyoke_lab_rig::error::RigError;
 use aniseyoke_lab_scale::error::ScaleError;
 use aniseyoke_lab_scale::versions::VersionsError;
+use aniseyoke_lab_soak::SoakError;
 use aniseyoke_lab_trial::TrialError;
 use std::io;
 
@@ -38,6 +39,9 @@
     /// A scale experiment could not be played.
     #[error(transparent)]
     Scale(#[from] ScaleError),
+    /// A run of the soak could not be played.
+    #[error(transparent)]
+    Soak(#[from] SoakError),
     /// Versions could not be measured.
     #[error(transparent)]
     Versions(#[from] VersionsError),
