Kill a test's proxies with the thread that started them, so that none disturbs others

Seen: 5 of 200 runs of handover.rs red with its mend in, on three different lines: a poll reset, an answer that never came, a connection at a node before any was due. The strange connections were GET /catalog/members: proxies left behind by a trial whose tests had been killed, asking for lists at ports that were other tests' servers by then.

Cause: tests/rig ended proxies on drop alone, which a killed test never reaches. The test starts a proxy on a thread that ends, and waits for its end; without the change it waited in vain.

--- a/crates/proxy/tests/command.rs
+++ b/crates/proxy/tests/command.rs
@@ -67,6 +67,25 @@
     );
 }
 
+/// Proxies of tests that had been killed went on asking for lists at ports that were other tests' servers by then: 5 of 200 runs
+/// of `handover.rs` failed, with `GET /catalog/members` of a strange proxy at a node.
+#[test]
+fn a_proxy_does_not_outlive_the_thread_of_the_test_that_started_it() {
+    let discovery = Server::new();
+    let config = config(discovery.addr, &[]).to_string();
+    // Nothing ends the child, as where the test is killed.
+    let started = std::thread::spawn(move || start_with(&config, |_| {}));
+    let (child, file) = started.join().expect("started");
+    let id = child.id();
+    let stat = format!("/proc/{id}/stat");
+    until("it has ended", || {
+        // It stays a zombie, since nobody waits for it.
+        let stat = std::fs::read_to_string(&stat).expect("a state");
+        stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('Z'))
+    });
+    let _ = std::fs::remove_file(file);
+}
+
 #[test]
 fn the_commands_about_files_answer_without_a_platform() {
     let (before, after) = (file(""), file("[log]\nlevel = \"debug\"\n"));
--- a/crates/proxy/tests/rig/mod.rs
+++ b/crates/proxy/tests/rig/mod.rs
@@ -1,10 +1,12 @@
 //! The real program between clients, nodes and discovery that a test plays by hand on loopback sockets.
 #![allow(dead_code)]
 
+use nix::sys::signal::Signal;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -250,9 +252,22 @@
     let mut command = Command::new(env!("CARGO_BIN_EXE_aniseyoke"));
     command.env_clear().env("PROXY_CONFIG", &file).stderr(Stdio::piped());
     more(&mut command);
+    kill_with_thread(&mut command);
     (command.spawn().expect("started"), file)
 }
 
+/// Has the child be killed when the thread that starts it ends, also where the test itself is killed. A proxy that is left
+/// behind goes on asking for lists at ports that are other tests' servers by then.
+#[allow(unsafe_code)]
+fn kill_with_thread(command: &mut Command) {
+    let set_signal = || nix::sys::prctl::set_pdeathsig(Signal::SIGKILL).map_err(std::io::Error::from);
+    // SAFETY: audited. The closure runs in the child between fork and exec and makes one system call, prctl, which is
+    // async-signal-safe; it allocates nothing and touches no lock or memory of the parent.
+    unsafe {
+        command.pre_exec(set_signal);
+    }
+}
+
 impl Proxy {
     pub fn new(config: &Value) -> Self {
         Self::with(config, |_| {})
