--- a/crates/proxy/src/discovery/connection.rs
+++ b/crates/proxy/src/discovery/connection.rs
@@ -2,7 +2,8 @@
 
 use super::error::{ExchangeError, PollError};
 use crate::config::EndpointList;
-use crate::socket::{Io, Permit, Socket};
+use crate::descriptors::Permit;
+use crate::socket::{Io, Socket};
 use crate::Body;
 use aniseyoke_sockets::connect;
 use http_body_util::{BodyExt, Limited};
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cli;
 pub mod config;
 pub mod control;
+mod descriptors;
 pub mod discovery;
 pub mod drain;
 mod duration;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,6 +1,6 @@
-//! One TCP stream under hyper: what has been written to it, whether its peer has gone, and the budget of
-//! descriptors that all streams share.
+//! One TCP stream under hyper: what has been written to it, and whether its peer has gone.
 
+use super::descriptors::Permit;
 use super::last_look::{retold, LastLook};
 use super::KERNEL_BUFFER;
 use aniseyoke_sockets::{passing_shortage, uninterrupted};
@@ -18,57 +18,6 @@
 use tokio::task::yield_now;
 use tokio::time::{sleep, sleep_until, timeout, Instant};
 
-/// The descriptors that sockets may still take.
-pub struct Descriptors {
-    used: Cell<usize>,
-    most: Cell<usize>,
-    freed: Notify,
-}
-
-impl Descriptors {
-    pub fn new(most: usize) -> Rc<Self> {
-        Rc::new(Descriptors { used: Cell::new(0), most: Cell::new(most), freed: Notify::new() })
-    }
-
-    pub fn most(&self) -> usize {
-        self.most.get()
-    }
-
-    pub fn used(&self) -> usize {
-        self.used.get()
-    }
-
-    /// From here on so many may be taken; what is held beyond that stays until it is given back.
-    pub fn limit(&self, most: usize) {
-        self.most.set(most);
-        self.freed.notify_one();
-    }
-
-    /// Takes one, if any is free.
-    pub fn take(self: &Rc<Self>) -> Option<Permit> {
-        if self.used.get() >= self.most.get() {
-            return None;
-        }
-        self.used.set(self.used.get() + 1);
-        Some(Permit(self.clone()))
-    }
-
-    /// Waits until one is given back.
-    pub async fn freed(&self) {
-        self.freed.notified().await;
-    }
-}
-
-/// A descriptor taken from the budget; it returns when this is dropped.
-pub struct Permit(Rc<Descriptors>);
-
-impl Drop for Permit {
-    fn drop(&mut self) {
-        self.0.used.set(self.0.used.get().saturating_sub(1));
-        self.0.freed.notify_one();
-    }
-}
-
 /// Who may have gone is asked so often.
 const ASK_EVERY: Duration = Duration::from_millis(40);
 /// Who is asked by the answer's first bytes is asked so long after the first time, and then after twice as long each.
--- a/crates/proxy/src/socket/tests.rs
+++ b/crates/proxy/src/socket/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::descriptors::Descriptors;
 use http_body_util::Full;
 use hyper::body::Bytes;
 use hyper::client::conn::http1;
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -1,10 +1,11 @@
 //! Connections to cache nodes and the origin, and one attempt on one of them with its outcome.
 
 use super::budget::Budget;
+use super::descriptors::Descriptors;
 use super::last_look::{told, LastLook};
 use super::opening::Opening;
 use super::relay::{Outgoing, Relay};
-use super::socket::{Descriptors, Io, Presence, Socket, Waiter};
+use super::socket::{Io, Presence, Socket, Waiter};
 use super::upload::{Payload, Sending};
 use super::{BODY_MOST, BUFFER_MOST, LARGEST};
 use aniseyoke_core::Transport;
