Log the first line before any thread exists, and the phases of the start at debug level

Change: `aniseyoke_logging::start` calls a closure before it creates the log's thread; the calling thread writes its lines at once. A pipe or terminal is opened once more with O_NONBLOCK for that, so that a full pipe that nobody reads doesn't hold the start up and the flag isn't set for others who share the description; a regular file is written as it is. A line that could not be written so is the first in the queue. `StartPhase` names the phases and `StartTimer` logs each with the microseconds since the start began: `start: begun process=P version=V`, `start: PHASE completed elapsed_us=N`.

All of it is at debug level, the first line too: requests.rs, handover.rs and command.rs demand that a start that fails prints its faults and nothing else. At info level the log stays as it was.

--- a/crates/logging/src/layer.rs
+++ b/crates/logging/src/layer.rs
@@ -1,4 +1,4 @@
-//! Takes the events of the program, limits their rate, and queues a line for each.
+//! Takes the events of the program, limits their rate, and passes on a line for each.
 
 use crate::format::{format, EventFields, Format};
 use crate::rate_limit::{Admission, RateLimit, RateLimiter};
@@ -10,18 +10,31 @@
 use tracing_appender::non_blocking::NonBlocking;
 use tracing_subscriber::layer::{Context, Layer};
 
+/// Where finished lines go. It must not make the thread that logs wait.
+pub trait LineOutput: Send + Sync + 'static {
+    /// Takes a line with its line end.
+    fn write_line(&self, line: &str);
+}
+
+impl LineOutput for NonBlocking {
+    fn write_line(&self, line: &str) {
+        // A full queue drops the line, and counts it.
+        let _ = self.clone().write_all(line.as_bytes());
+    }
+}
+
 /// Writes lines in one format, limited for each call site.
-pub struct LineWriter {
+pub struct LineWriter<O> {
     format: Format,
     start: Instant,
     limiter: Mutex<RateLimiter<Identifier>>,
-    queue: NonBlocking,
+    output: O,
 }
 
 /// A [`LineWriter`] as a layer of a subscriber.
-pub struct LineLayer(pub Arc<LineWriter>);
+pub struct LineLayer<O>(pub Arc<LineWriter<O>>);
 
-impl<S: Subscriber> Layer<S> for LineLayer {
+impl<S: Subscriber, O: LineOutput> Layer<S> for LineLayer<O> {
     fn on_event(&self, event: &Event<'_>, _: Context<'_, S>) {
         let admission = self.0.limiter().admit(self.0.now(), event.metadata().callsite());
         if let Admission::Written { suppressed } = admission {
@@ -32,10 +45,20 @@
     }
 }
 
-impl LineWriter {
-    /// A writer that puts its lines into a queue.
-    pub fn new(format: Format, rate_limit: RateLimit, queue: NonBlocking) -> Self {
-        LineWriter { format, start: Instant::now(), limiter: Mutex::new(RateLimiter::new(rate_limit)), queue }
+impl<O: LineOutput> LineWriter<O> {
+    /// A writer that passes its lines on to an output.
+    pub fn new(format: Format, rate_limit: RateLimit, output: O) -> Self {
+        LineWriter {
+            format,
+            start: Instant::now(),
+            limiter: Mutex::new(RateLimiter::new(rate_limit)),
+            output,
+        }
+    }
+
+    /// Where the lines go.
+    pub fn output(&self) -> &O {
+        &self.output
     }
 
     fn now(&self) -> u64 {
@@ -58,8 +81,6 @@
     }
 
     fn write(&self, metadata: &Metadata<'_>, fields: EventFields, suppressed: u64) {
-        let line = format(self.format, metadata, fields, suppressed);
-        // A full queue drops it, and counts.
-        let _ = self.queue.clone().write_all(line.as_bytes());
+        self.output.write_line(&format(self.format, metadata, fields, suppressed));
     }
 }
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -4,9 +4,13 @@
 //! full the line is dropped and counted. Each call site has a rate limit of its own, so that a fault that repeats with
 //! every request neither fills the queue nor hides other lines. How many lines were suppressed is reported with the next
 //! line of that site, or by [`LogHandle::report_suppressed`] when none comes. Levels can be changed while the program runs.
+//!
+//! The first lines are written by the thread that starts the log, before the other thread exists, so that a process that
+//! gets stuck while it creates its threads has logged that it began.
 #![forbid(unsafe_code)]
 #![deny(missing_docs)]
 
+mod early;
 mod format;
 mod layer;
 mod levels;
@@ -16,10 +20,10 @@
 pub use levels::{Level, Levels};
 pub use rate_limit::{Admission, RateLimit, RateLimiter};
 
-use layer::{LineLayer, LineWriter};
+use layer::{LineLayer, LineOutput, LineWriter};
 use std::io::Write;
 use std::sync::Arc;
-use tracing_appender::non_blocking::{ErrorCounter, NonBlockingBuilder, WorkerGuard};
+use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::filter::Targets;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::{reload, Registry};
@@ -40,7 +44,7 @@
 
 /// Controls a running log. Dropping it writes the lines that still wait.
 pub struct LogHandle {
-    lines: Arc<LineWriter>,
+    lines: Arc<LineWriter<NonBlocking>>,
     levels: reload::Handle<Targets, Registry>,
     dropped: ErrorCounter,
     _writer: WorkerGuard,
@@ -85,10 +89,15 @@
 
 /// Starts the log of this process on standard error.
 ///
+/// `first` is called before the log's thread exists. What it logs is written by the calling thread, at once and without
+/// waiting; lines that could not be written so, as to a full pipe, are the first in the queue.
+///
 /// # Errors
 /// If one was started before.
-pub fn start(options: &Options) -> Result<LogHandle, StartError> {
+pub fn start(options: &Options, first: impl FnOnce()) -> Result<LogHandle, StartError> {
+    let not_written = early::write_lines_of(options, early::nonblocking_standard_error(), first);
     let (subscriber, handle) = build(options, std::io::stderr());
+    not_written.iter().for_each(|line| handle.lines.output().write_line(line));
     tracing::subscriber::set_global_default(subscriber)?;
     Ok(handle)
 }
--- a/crates/logging/src/tests.rs
+++ b/crates/logging/src/tests.rs
@@ -115,3 +115,38 @@
     assert!(handle.dropped() >= 20_000 - MAX_QUEUED_LINES - 10, "{} dropped", handle.dropped());
     drop(held);
 }
+
+/// Notes which thread writes each line, and takes only so many lines.
+struct FirstLines {
+    written: Sender<(std::thread::ThreadId, String)>,
+    room: usize,
+}
+
+impl Write for FirstLines {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let Some(room) = self.room.checked_sub(1) else { return Err(std::io::ErrorKind::WouldBlock.into()) };
+        self.room = room;
+        let line = String::from_utf8_lossy(bytes).into_owned();
+        let _ = self.written.send((std::thread::current().id(), line));
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Guards against a start that gets stuck before its first line is written.
+#[test]
+fn first_lines_are_written_by_the_calling_thread_and_what_did_not_fit_is_returned_in_order() {
+    let (written, lines) = channel();
+    let out = FirstLines { written, room: 2 };
+    let not_written = early::write_lines_of(&options(Format::Plain, 9, Level::Info), Some(out), || {
+        (1..=4).for_each(|n| tracing::info!("line {n}"));
+        tracing::debug!("not logged at this level");
+    });
+    let this = std::thread::current().id();
+    let expected = [(this, "aniseyoke: line 1\n".to_owned()), (this, "aniseyoke: line 2\n".to_owned())];
+    assert_eq!(lines.into_iter().collect::<Vec<_>>(), expected);
+    assert_eq!(not_written, ["aniseyoke: line 3\n", "aniseyoke: line 4\n"]);
+}
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -30,6 +30,7 @@
 use crate::opening::Opening;
 use crate::operator_orders::OrderStore;
 use crate::peers::Peers;
+use crate::startup::{StartPhase, StartTimer};
 use crate::upstream::Upstreams;
 use crate::{admin, Engine};
 use aniseyoke_core::EngineConfig;
@@ -93,6 +94,8 @@
     pub admin: AdminOptions,
     /// What else is to be done at certain moments.
     pub hooks: Hooks,
+    /// Logs the phases of the start.
+    pub start_timer: StartTimer,
 }
 
 /// How requests are served.
@@ -138,9 +141,10 @@
     stop: impl Future<Output = ()>,
     hangup: Signal,
 ) -> Result<(), StartError> {
-    let FrontOptions { engine: engine_options, admin: admin_options, hooks } = options;
+    let FrontOptions { engine: engine_options, admin: admin_options, hooks, mut start_timer } = options;
     let ClientListener { listener, addr, handed_over } = ClientListener::open(config.listen).await?;
     tracing::info!("{} on {addr}", if handed_over { "handover: listening" } else { "listening" });
+    start_timer.complete(StartPhase::Listening);
     let state_dir = startup::state_dir();
     let peers = Peers::join(state_dir.clone());
     let limits = ResourceLimits::new(&config, engine_options.reserved_memory);
@@ -148,6 +152,7 @@
     let parts = startup::build(config, engine_options, &limits, &peers.other_claims(), handed_over)?;
     let Parts { server, watcher, watch_requests } = parts;
     (hooks.started)(server.engine.clone(), addr)?;
+    start_timer.complete(StartPhase::Engine);
 
     let (address_sender, address_changes) = mpsc::unbounded_channel();
     let triggers = WatchTriggers { watch_requests, address_changes };
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,6 +25,7 @@
 mod serve;
 mod signals;
 mod socket;
+mod startup;
 mod upload;
 mod upstream;
 mod versions;
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -6,6 +6,7 @@
 use crate::discovery::{self, ListPolling, ListStatus};
 use crate::front::{AdminOptions, EngineOptions, FrontOptions, Hooks, StartError, StartedHook};
 use crate::opening::Opening;
+use crate::startup::{StartPhase, StartTimer};
 use crate::versions::{last_good, reserve, BaseLayers, ConfigInForce, ConfigUpdater, Subscription};
 use crate::{front, operator, signals, wall_clock};
 use aniseyoke_config::layers::Resolved;
@@ -25,10 +26,11 @@
 
 /// Serves until it is told to end. What keeps it from starting is printed on standard error, a line each.
 pub fn run(file: Option<PathBuf>) -> ExitCode {
+    let start_timer = StartTimer::new();
     let file = file.filter(|file| !file.as_os_str().is_empty());
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let served = runtime.map_err(ServeError::Runtime).and_then(|runtime| {
-        let served = LocalSet::new().block_on(&runtime, serve(file));
+        let served = LocalSet::new().block_on(&runtime, serve(file, start_timer));
         // Danger: a write that the disk holds up must not hold up the end.
         runtime.shutdown_background();
         served
@@ -43,19 +45,26 @@
     }
 }
 
-async fn serve(file: Option<PathBuf>) -> Result<(), ServeError> {
+async fn serve(file: Option<PathBuf>, mut start_timer: StartTimer) -> Result<(), ServeError> {
     // Danger: until it is handled this signal ends the process.
     let hangup = signals::hangup()?;
+    start_timer.complete(StartPhase::SignalHandling);
     let resolved = operator::read(file.as_deref())?;
+    start_timer.complete(StartPhase::OperatorFile);
     let log_options = operator::log_options(&resolved.operator.log);
-    let log = Rc::new(signals::left_to_this_thread(|| aniseyoke_logging::start(&log_options))?);
+    let start_log = || aniseyoke_logging::start(&log_options, || start_timer.log_beginning());
+    let log = Rc::new(signals::left_to_this_thread(start_log)?);
+    start_timer.complete(StartPhase::Log);
     wall_clock::init()?;
     let platform = Config::from_env()?;
+    start_timer.complete(StartPhase::PlatformConfiguration);
     let source = file.as_deref().map(operator::source).transpose().map_err(|error| vec![error])?;
     let base = Arc::new(BaseLayers { platform, file: source });
     let control = resolved.operator.control;
     let version = control.as_ref().and_then(|control| last_good(control, &base));
+    start_timer.complete(StartPhase::StoredVersion);
     let (resolved, plan) = base.with(version.as_ref())?;
+    start_timer.complete(StartPhase::Plan);
     let mut config = base.platform.clone();
     let version = version.map(Arc::new);
     let stop = signals::stop()?;
@@ -75,7 +84,7 @@
         reload: Box::new(move || reload(&reload_base.platform, &in_force.borrow(), file.as_deref(), &log)),
     };
     let engine = EngineOptions { plan: Arc::new(plan), polling, opening, reserved_memory };
-    let options = FrontOptions { engine, admin: AdminOptions { about, list_status }, hooks };
+    let options = FrontOptions { engine, admin: AdminOptions { about, list_status }, hooks, start_timer };
     Ok(front::run(config, options, stop, hangup).await?)
 }
 
