--- a/crates/faults-preload/src/clock.rs
+++ b/crates/faults-preload/src/clock.rs
@@ -2,8 +2,8 @@
 //! clock, which a step tells ahead or behind.
 
 use crate::engine::{guarded, Subject, Verdict};
-use crate::next::interpose;
 use aniseyoke_faults::Call;
+use aniseyoke_interpose::interpose;
 use libc::{c_int, c_void, clockid_t, time_t, timespec, timeval};
 
 const NANOSECONDS: i128 = 1_000_000_000;
--- a/crates/faults-preload/src/files.rs
+++ b/crates/faults-preload/src/files.rs
@@ -1,8 +1,8 @@
 //! Calls about files: open, pwrite, fsync, fdatasync, rename, ftruncate. (`write` is among the streams.)
 
 use crate::engine::{guarded, Subject};
-use crate::next::interpose;
 use aniseyoke_faults::Call;
+use aniseyoke_interpose::interpose;
 use libc::{c_char, c_int, c_uint, c_void, off64_t, off_t, size_t, ssize_t};
 use std::ffi::CStr;
 
--- a/crates/faults-preload/src/lib.rs
+++ b/crates/faults-preload/src/lib.rs
@@ -5,6 +5,5 @@
 mod clock;
 mod engine;
 mod files;
-mod next;
 mod sockets;
 mod streams;
--- a/crates/faults-preload/src/sockets.rs
+++ b/crates/faults-preload/src/sockets.rs
@@ -1,8 +1,8 @@
 //! Calls that make and take connections, and the wait for them.
 
 use crate::engine::{decide, guarded, port_of, Subject, Verdict};
-use crate::next::interpose;
 use aniseyoke_faults::Call;
+use aniseyoke_interpose::interpose;
 use libc::{c_int, c_void, sockaddr, socklen_t};
 
 /// A connection that was taken; one whose taking is to be said to have failed is gone, as an aborted one is.
--- a/crates/faults-preload/src/streams.rs
+++ b/crates/faults-preload/src/streams.rs
@@ -1,8 +1,8 @@
 //! Calls that take and give bytes.
 
 use crate::engine::{guarded, Subject, Verdict};
-use crate::next::interpose;
 use aniseyoke_faults::Call;
+use aniseyoke_interpose::interpose;
 use libc::{c_int, c_void, iovec, msghdr, sockaddr, socklen_t, ssize_t};
 
 /// How many parts of a vector are looked at for a short call; a part alone is a short call too.
--- a/crates/faults/src/armed.rs
+++ b/crates/faults/src/armed.rs
@@ -54,17 +54,26 @@
 
 /// The preload library that cargo has built beside the running test.
 pub fn library() -> Result<PathBuf, ArmError> {
+    built_library(LIBRARY)
+}
+
+/// The library of this file name that cargo has built beside the running test.
+pub fn built_library(file: &'static str) -> Result<PathBuf, ArmError> {
     let own = std::env::current_exe().map_err(ArmError::Own)?;
     let folder = own.parent().unwrap_or(Path::new("."));
-    let places = [folder.join(LIBRARY), folder.join("deps").join(LIBRARY)];
-    places.iter().find(|place| place.is_file()).cloned().ok_or_else(|| ArmError::Library(folder.to_owned()))
+    let places = [folder.join(file), folder.join("deps").join(file)];
+    places
+        .iter()
+        .find(|place| place.is_file())
+        .cloned()
+        .ok_or_else(|| ArmError::Library(file, folder.to_owned()))
 }
 
 /// Why a plan can't be put in force.
 #[derive(Debug)]
 pub enum ArmError {
     Own(std::io::Error),
-    Library(PathBuf),
+    Library(&'static str, PathBuf),
     Plan(PlanError),
 }
 
@@ -72,9 +81,9 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             ArmError::Own(e) => write!(f, "the running program's path is unknown: {e}"),
-            ArmError::Library(folder) => write!(
+            ArmError::Library(file, folder) => write!(
                 f,
-                "no {LIBRARY} in {}: the test's package needs aniseyoke-faults-preload among its dev-dependencies",
+                "no {file} in {}: the test's package needs the one that makes it among its dev-dependencies",
                 folder.display()
             ),
             ArmError::Plan(e) => e.fmt(f),
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -5,7 +5,7 @@
 mod armed;
 mod plan;
 
-pub use armed::{arm, library, ArmError, Armed};
+pub use armed::{arm, built_library, library, ArmError, Armed};
 pub use plan::{About, Call, Effect, Often, Plan, PlanError, Rule};
 
 /// The environment variable that names the plan's file to the process under test.
