--- a/crates/proxy/tests/rig/mod.rs
+++ b/crates/proxy/tests/rig/mod.rs
@@ -274,15 +274,25 @@
     }
 
     pub fn with(config: &Value, more: impl FnOnce(&mut Command)) -> Self {
+        Self::try_with(config, more)
+            .unwrap_or_else(|early| panic!("the log ended before the start: {early:?}"))
+    }
+
+    /// Starts the program and waits until it listens; what it said if it ended before.
+    pub fn try_with(config: &Value, more: impl FnOnce(&mut Command)) -> Result<Self, String> {
         let (mut child, file) = start_with(&config.to_string(), more);
         let mut log = BufReader::new(child.stderr.take().expect("a log"));
         let (mut line, mut early) = (String::new(), Vec::new());
         while !line.contains("listening on") {
             early.extend((!line.is_empty()).then(|| std::mem::take(&mut line)));
-            assert!(log.read_line(&mut line).expect("a line") > 0, "the log ended before the start");
+            if log.read_line(&mut line).expect("a line") == 0 {
+                let status = child.wait().expect("its end");
+                return Err(format!("{status}: {}", early.concat()));
+            }
         }
         let addr = line.trim().rsplit(' ').next().and_then(|a| a.parse().ok());
-        Proxy { child, addr: addr.unwrap_or_else(|| panic!("no address in {line:?}")), log, early, file }
+        let addr = addr.unwrap_or_else(|| panic!("no address in {line:?}"));
+        Ok(Proxy { child, addr, log, early, file })
     }
 
     pub fn client(&self) -> Peer {
