Cut the start into typed steps, and say its constraints in doc comments

Need: `serve` was one function of forty steps, and the constraints of the start stood behind "Danger:".

What a reader would wonder about is a doc comment on its item; so too in signals.rs, background_writer.rs, operator_orders.rs, front/mod.rs, lib.rs and the logging crate. No change of behaviour.

The one comment changed in a test file (crates/logging/src/tests.rs) is not part of a check.

--- a/crates/logging/src/format.rs
+++ b/crates/logging/src/format.rs
@@ -94,7 +94,7 @@
         Format::Plain => plain(fields, suppressed),
         Format::Json => json(metadata, fields, suppressed),
     };
-    // Danger: text from a client could otherwise look like a line of its own.
+    // Text from a client must not look like a line of its own.
     let mut line = line.replace(['\n', '\r'], " ");
     truncate(&mut line, MAX_LINE_BYTES);
     line.push('\n');
@@ -124,7 +124,7 @@
     if suppressed > 0 {
         object.insert("left_out".into(), suppressed.into());
     }
-    // Danger: a field of the same name must not replace what every line says.
+    // A field of the same name does not replace what every line says.
     for (name, value) in fields.others {
         object.entry(name).or_insert(value);
     }
--- a/crates/logging/src/tests.rs
+++ b/crates/logging/src/tests.rs
@@ -103,7 +103,7 @@
     }
 }
 
-/// Danger: standard error may be a pipe that nobody reads.
+/// Guards against a log that holds up serving: standard error may be a pipe that nobody reads.
 #[test]
 fn an_output_that_blocks_delays_nobody_and_dropped_lines_are_counted() {
     let gate = std::sync::Arc::new(Mutex::new(()));
--- a/crates/proxy/src/background_writer.rs
+++ b/crates/proxy/src/background_writer.rs
@@ -1,5 +1,5 @@
-//! Writes what outlives a restart on a thread of its own. Danger: a disk that hangs must hold up neither incoming updates nor
-//! the proxy, and what waits for it must not grow: only the newest value waits, and replaces the one that waited before it. A
+//! Writes what outlives a restart on a thread of its own, so that a disk that hangs holds up neither incoming updates nor the
+//! proxy. What waits for the disk does not grow: only the newest value waits, and replaces the one that waited before it. A
 //! value that could not be written is written again with exponential backoff, until it is, or a newer one takes its place.
 
 use crate::signals;
@@ -95,7 +95,7 @@
         let shared = Arc::new(Shared { mailbox, changed: Condvar::new() });
         let of_thread = shared.clone();
         let thread = std::thread::Builder::new().name("keeping".into());
-        signals::left_to_this_thread(|| thread.spawn(move || of_thread.run(write)))?;
+        signals::with_signals_blocked(|| thread.spawn(move || of_thread.run(write)))?;
         Ok(BackgroundWriter(shared))
     }
 
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -8,18 +8,18 @@
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
-/// What the calls act on.
+/// Carries out the calls at the admin endpoint.
 pub struct Control {
     engine: Rc<Engine>,
     drain: Rc<Drain>,
     store: OrderStore,
-    /// What a call for the version is told, but for what changes.
-    about: Rc<RefCell<serde_json::Value>>,
+    /// What a call for the version is answered, but for what changes.
+    version_info: Rc<RefCell<serde_json::Value>>,
     /// The status of the endpoint list, where the operator's file has a [list] section.
     list_status: Option<Rc<ListStatus>>,
-    /// The orders carried out.
-    done: RefCell<OperatorOrders>,
-    /// Whether clients are let in.
+    /// The orders in force.
+    applied: RefCell<OperatorOrders>,
+    /// Whether clients are accepted.
     pub serving: Cell<bool>,
 }
 
@@ -29,26 +29,26 @@
         engine: Rc<Engine>,
         drain: Rc<Drain>,
         store: OrderStore,
-        about: Rc<RefCell<serde_json::Value>>,
+        version_info: Rc<RefCell<serde_json::Value>>,
         list_status: Option<Rc<ListStatus>>,
     ) -> Rc<Self> {
-        let (done, serving) = (RefCell::default(), Cell::new(false));
-        let control = Control { engine, drain, store, about, list_status, done, serving };
-        control.look();
+        let (applied, serving) = (RefCell::default(), Cell::new(false));
+        let control = Control { engine, drain, store, version_info, list_status, applied, serving };
+        control.apply_stored_orders();
         Rc::new(control)
     }
 
     /// Carries out what was ordered at another process.
-    pub fn look(&self) {
+    pub fn apply_stored_orders(&self) {
         if self.store.refresh() {
             let orders = self.store.orders();
             tracing::info!("operators' orders: drain {}, out {:?}", orders.drain, orders.bans);
-            self.carry_out();
+            self.apply_orders();
         }
     }
 
     /// Carries a call out, and returns the reply to it.
-    pub async fn act(&self, call: Call) -> AdminReply {
+    pub async fn handle_call(&self, call: Call) -> AdminReply {
         match call {
             Call::Ready if self.drain.is_shutting_down() => {
                 AdminReply::Unavailable("the process is stopping")
@@ -66,21 +66,21 @@
     }
 
     fn version(&self) -> serde_json::Value {
-        let mut about = self.about.borrow().clone();
-        if let (Some(aniseyoke_core::QueueStatus { waiting, rejected: turned }), Some(about)) =
-            (self.engine.queue_status(), about.as_object_mut())
+        let mut version_info = self.version_info.borrow().clone();
+        if let (Some(aniseyoke_core::QueueStatus { waiting, rejected: turned }), Some(version_info)) =
+            (self.engine.queue_status(), version_info.as_object_mut())
         {
-            about.insert("limits".into(), serde_json::json!({ "waiting": waiting, "turned": turned }));
+            version_info.insert("limits".into(), serde_json::json!({ "waiting": waiting, "turned": turned }));
         }
-        if let (Some(list_status), Some(about)) = (&self.list_status, about.as_object_mut()) {
-            about.insert("list".into(), list_status.to_json());
+        if let (Some(list_status), Some(version_info)) = (&self.list_status, version_info.as_object_mut()) {
+            version_info.insert("list".into(), list_status.to_json());
         }
-        about
+        version_info
     }
 
     async fn ban(&self, id: String, out: bool) -> AdminReply {
         // What another process took out may have left the list before this one began.
-        self.look();
+        self.apply_stored_orders();
         if !self.engine.was_listed(&id) {
             return AdminReply::NotFound("no such cache node was ever listed");
         }
@@ -98,18 +98,18 @@
         if let Err(e) = self.store.update(change).await {
             tracing::error!("operators' order not kept: {e}");
             // Where only the last step failed the file has it: what is in force is what the file says.
-            self.look();
+            self.apply_stored_orders();
             return AdminReply::Unavailable("the order could not be kept: make the call again");
         }
-        self.carry_out();
+        self.apply_orders();
         AdminReply::Done
     }
 
-    fn carry_out(&self) {
+    fn apply_orders(&self) {
         let orders = self.store.orders();
-        let done = self.done.replace(orders.clone());
-        orders.bans.difference(&done.bans).for_each(|id| self.engine.set_banned(id, true));
-        done.bans.difference(&orders.bans).for_each(|id| self.engine.set_banned(id, false));
+        let previous = self.applied.replace(orders.clone());
+        orders.bans.difference(&previous.bans).for_each(|id| self.engine.set_banned(id, true));
+        previous.bans.difference(&orders.bans).for_each(|id| self.engine.set_banned(id, false));
         self.drain.set_ordered(orders.drain);
     }
 }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -113,7 +113,7 @@
 /// What the admin endpoint shows.
 pub struct AdminOptions {
     /// The program, its configuration and its version; it changes with versions from a control service.
-    pub about: Rc<RefCell<serde_json::Value>>,
+    pub version_info: Rc<RefCell<serde_json::Value>>,
     /// The status of the endpoint list, where the operator's file has a section for it.
     pub list_status: Option<Rc<ListStatus>>,
 }
@@ -164,14 +164,14 @@
         tracing::warn!("TMPDIR is not set: what operators order ends with this process");
     }
     let store = OrderStore::open(state_dir);
-    let AdminOptions { about, list_status } = admin_options;
-    let control = Control::new(server.engine.clone(), server.drain.clone(), store, about, list_status);
+    let AdminOptions { version_info, list_status } = admin_options;
+    let control = Control::new(server.engine.clone(), server.drain.clone(), store, version_info, list_status);
     if let Some(mgmt) = mgmt {
         open_admin_endpoint(mgmt, &control).await?;
     }
     let (orders, sharing) = (control.clone(), server.clone());
     every(CHECK_INTERVAL, move || {
-        orders.look();
+        orders.apply_stored_orders();
         sharing.adjust_limits(&limits, &peers);
     });
     tokio::select! {
@@ -179,7 +179,7 @@
         () = stop => {}
         never = async {
             if handed_over {
-                // Danger: what is taken from the queue before it can be served is lost to the one that can.
+                // A connection accepted before it can be served would be lost to the process that can serve it.
                 server.wait_for_endpoint_list().await;
             }
             control.serving.set(true);
@@ -194,7 +194,7 @@
     let control = control.clone();
     let act = move |call| {
         let control = control.clone();
-        async move { control.act(call).await }
+        async move { control.handle_call(call).await }
     };
     admin::open(addr, act).await?;
     Ok(())
@@ -217,7 +217,7 @@
         every(SHED_IDLE_INTERVAL, move || server.shed_idle_clients());
     }
 
-    /// Danger: clients that hold every descriptor could be answered by nobody. Of two they get one.
+    /// Clients get half of the descriptors, so that as many are left for the connections over which they are answered.
     fn max_clients(&self) -> usize {
         self.descriptors.most() / 2
     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -38,8 +38,8 @@
 const BODY_MOST: usize = 64 << 10;
 /// Nothing that is passed on is longer than this.
 const LARGEST: u64 = 40 << 20;
-/// What the kernel holds of a connection that carries something large is about twice this, in bytes. Danger: with a
-/// buffer of its own measure it takes megabytes, and hides for long that the other side takes nothing.
+/// What the kernel holds of a connection that carries something large is about twice this, in bytes. A buffer that the
+/// kernel sizes itself takes megabytes, and hides for long that the other side takes nothing.
 const KERNEL_BUFFER: usize = 128 << 10;
 /// What is read ahead of a connection, heads among it, holds at most this.
 const BUFFER_MOST: usize = 16 << 10;
--- a/crates/proxy/src/operator_orders.rs
+++ b/crates/proxy/src/operator_orders.rs
@@ -110,7 +110,7 @@
             return false;
         }
         let read = read(dir);
-        // Danger: orders that the disk did not give this time would never be read again.
+        // Orders that the disk did not give this time are read again at the next refresh.
         let unreadable = matches!(read, Err(OrdersError::Disk { .. }));
         let was_unreadable = self.unreadable.replace(unreadable);
         if !unreadable {
@@ -146,11 +146,11 @@
             return Err(OrdersError::TooManyBans);
         }
         let (dir, text) = (dir.clone(), encode(&orders)?);
-        // Danger: a disk that hangs must not hold up the thread that serves. Whoever calls may give up meanwhile, so the lock
-        // goes along; it ends only once this process has what the file says.
+        // Written on another thread, since the disk may hang. Whoever calls may give up meanwhile, so the lock goes along; it
+        // ends only once this process has what the file says.
         let write_locked = move || (write(&dir, &text), lock);
         let (written, _lock) =
-            signals::left_to_this_thread(|| tokio::task::spawn_blocking(write_locked)).await?;
+            signals::with_signals_blocked(|| tokio::task::spawn_blocking(write_locked)).await?;
         written?;
         self.orders.replace(orders);
         Ok(())
@@ -164,7 +164,7 @@
             tracing::warn!("operators' orders are written anew: {error}");
             Ok(None)
         }
-        // Danger: to write over orders that could not be read would end bans that nobody lifted.
+        // Orders that could not be read are not written over: that would end bans that nobody lifted.
         read => read,
     }
 }
@@ -211,8 +211,8 @@
     Ok(text)
 }
 
-/// Danger: a reader that finds half a file would forget every ban, so the complete new one takes the old one's place at once.
-/// File and folder are synced before this returns.
+/// Replaces the file by a complete new one at once: a reader that finds half a file would forget every ban. File and folder
+/// are synced before this returns.
 fn write(dir: &Path, text: &[u8]) -> Result<(), OrdersError> {
     let (new, path) = (dir.join(NEW_FILE), dir.join(FILE));
     let written = Disk.write(&new, text).and_then(|()| Disk.rename(&new, &path));
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -10,7 +10,7 @@
 use crate::versions::{last_good, reserve, BaseLayers, ConfigInForce, ConfigUpdater, Subscription};
 use crate::{front, operator, signals, wall_clock};
 use aniseyoke_config::layers::Resolved;
-use aniseyoke_config::model::{Control, Operator};
+use aniseyoke_config::model::{Control, Log, Operator};
 use aniseyoke_control::Version;
 use aniseyoke_core::EngineConfig;
 use aniseyoke_logging::LogHandle;
@@ -28,14 +28,7 @@
 pub fn run(file: Option<PathBuf>) -> ExitCode {
     let start_timer = StartTimer::new();
     let file = file.filter(|file| !file.as_os_str().is_empty());
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let served = runtime.map_err(ServeError::Runtime).and_then(|runtime| {
-        let served = LocalSet::new().block_on(&runtime, serve(file, start_timer));
-        // Danger: a write that the disk holds up must not hold up the end.
-        runtime.shutdown_background();
-        served
-    });
-    match served {
+    match serve_on_new_runtime(file, start_timer) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             // The log may not have been started.
@@ -45,47 +38,110 @@
     }
 }
 
+/// Serves on the calling thread. At the end nothing waits for the threads of the runtime's pool: one of them may be in a
+/// write that the disk holds up.
+fn serve_on_new_runtime(file: Option<PathBuf>, start_timer: StartTimer) -> Result<(), ServeError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(ServeError::Runtime)?;
+    let served = LocalSet::new().block_on(&runtime, serve(file, start_timer));
+    runtime.shutdown_background();
+    served
+}
+
+/// Starts step by step, and serves. SIGHUP is handled first, since until then it ends the process.
 async fn serve(file: Option<PathBuf>, mut start_timer: StartTimer) -> Result<(), ServeError> {
-    // Danger: until it is handled this signal ends the process.
     let hangup = signals::hangup()?;
     start_timer.complete(StartPhase::SignalHandling);
-    let resolved = operator::read(file.as_deref())?;
+    let Operator { control, log: log_settings, .. } = operator::read(file.as_deref())?.operator;
     start_timer.complete(StartPhase::OperatorFile);
-    let log_options = operator::log_options(&resolved.operator.log);
-    let start_log = || aniseyoke_logging::start(&log_options, || start_timer.log_beginning());
-    let log = Rc::new(signals::left_to_this_thread(start_log)?);
+    let log = Rc::new(start_log(&log_settings, &mut start_timer)?);
     start_timer.complete(StartPhase::Log);
     wall_clock::init()?;
-    let platform = Config::from_env()?;
-    start_timer.complete(StartPhase::PlatformConfiguration);
-    let source = file.as_deref().map(operator::source).transpose().map_err(|error| vec![error])?;
-    let base = Arc::new(BaseLayers { platform, file: source });
-    let control = resolved.operator.control;
-    let version = control.as_ref().and_then(|control| last_good(control, &base));
-    start_timer.complete(StartPhase::StoredVersion);
-    let (resolved, plan) = base.with(version.as_ref())?;
-    start_timer.complete(StartPhase::Plan);
-    let mut config = base.platform.clone();
-    let version = version.map(Arc::new);
+    let start_config = StartConfig::load(file.as_deref(), control, &mut start_timer)?;
     let stop = signals::stop()?;
-    log.set_levels(&operator::log_levels(&resolved.operator.log));
-    let about = Rc::new(RefCell::new(about(&resolved, file.as_deref(), version.as_deref())));
-    let (polling, list_status) = polling(&resolved.operator, &mut config, &plan).unzip();
-    let opening = resolved.operator.opening.clone();
+    log.set_levels(&operator::log_levels(&start_config.resolved.operator.log));
+    let (config, options) = front_options(start_config, file, log, start_timer);
+    Ok(front::run(config, options, stop, hangup).await?)
+}
+
+fn start_log(
+    settings: &Log,
+    start_timer: &mut StartTimer,
+) -> Result<LogHandle, aniseyoke_logging::StartError> {
+    let options = operator::log_options(settings);
+    signals::with_signals_blocked(|| aniseyoke_logging::start(&options, || start_timer.log_beginning()))
+}
+
+/// The configuration with which the process starts.
+struct StartConfig {
+    /// The platform's configuration and the operator's file.
+    base: Arc<BaseLayers>,
+    /// The control services to follow.
+    control: Option<Control>,
+    /// The last good version from a control service.
+    version: Option<Arc<Version>>,
+    /// The operator's settings by all layers.
+    resolved: Resolved,
+    /// The engine's configuration by all layers.
+    plan: EngineConfig,
+}
+
+impl StartConfig {
+    fn load(
+        file: Option<&Path>,
+        control: Option<Control>,
+        start_timer: &mut StartTimer,
+    ) -> Result<Self, ServeError> {
+        let platform = Config::from_env()?;
+        start_timer.complete(StartPhase::PlatformConfiguration);
+        let source = file.map(operator::source).transpose().map_err(|error| vec![error])?;
+        let base = Arc::new(BaseLayers { platform, file: source });
+        let version = control.as_ref().and_then(|control| last_good(control, &base));
+        start_timer.complete(StartPhase::StoredVersion);
+        let (resolved, plan) = base.with(version.as_ref())?;
+        start_timer.complete(StartPhase::Plan);
+        Ok(StartConfig { base, control, version: version.map(Arc::new), resolved, plan })
+    }
+}
+
+/// The platform's configuration, with the endpoint list that was cached on disk, and the options of the front.
+fn front_options(
+    start_config: StartConfig,
+    file: Option<PathBuf>,
+    log: Rc<LogHandle>,
+    start_timer: StartTimer,
+) -> (Config, FrontOptions) {
+    let StartConfig { base, control, version, resolved, plan } = start_config;
+    let version_info = version_info(&resolved, file.as_deref(), version.as_deref());
+    let version_info = Rc::new(RefCell::new(version_info));
+    let operator = resolved.operator;
+    let mut config = base.platform.clone();
+    let (polling, list_status) = list_polling(&operator, &mut config, &plan).unzip();
+    let opening = operator.opening.clone();
     let opening = opening.map(|rules| Opening::new(rules, plan.settings.origin_kind, position(&plan)));
     let reserved_memory = control.as_ref().map_or(0, |_| reserve(config.memory));
-    let in_force =
-        Rc::new(RefCell::new(ConfigInForce { operator: resolved.operator, version: version.clone() }));
-    let updates = Updates { in_force: in_force.clone(), log: log.clone(), about: about.clone() };
-    let (each_second, reload_base) = (log.clone(), base.clone());
-    let hooks = Hooks {
+    let engine = EngineOptions { plan: Arc::new(plan), polling, opening, reserved_memory };
+    let admin = AdminOptions { version_info: version_info.clone(), list_status };
+    let in_force = Rc::new(RefCell::new(ConfigInForce { operator, version: version.clone() }));
+    let updates = Updates { in_force, log, version_info };
+    let hooks = hooks(base, control, version, updates, file);
+    (config, FrontOptions { engine, admin, hooks, start_timer })
+}
+
+fn hooks(
+    base: Arc<BaseLayers>,
+    control: Option<Control>,
+    version: Option<Arc<Version>>,
+    updates: Updates,
+    file: Option<PathBuf>,
+) -> Hooks {
+    let (in_force, log, reload_base) = (updates.in_force.clone(), updates.log.clone(), base.clone());
+    let log_each_second = log.clone();
+    Hooks {
         started: follow_control(control, base, updates, version),
-        each_second: Box::new(move || each_second.report_suppressed()),
+        each_second: Box::new(move || log_each_second.report_suppressed()),
         reload: Box::new(move || reload(&reload_base.platform, &in_force.borrow(), file.as_deref(), &log)),
-    };
-    let engine = EngineOptions { plan: Arc::new(plan), polling, opening, reserved_memory };
-    let options = FrontOptions { engine, admin: AdminOptions { about, list_status }, hooks, start_timer };
-    Ok(front::run(config, options, stop, hangup).await?)
+    }
 }
 
 /// This proxy's position in the fleet.
@@ -95,14 +151,16 @@
 
 /// The polling of the endpoint list and its status, where the operator's file has a section for it. A list that was cached
 /// on disk takes the place of the platform's.
-fn polling(
+///
+/// Where the platform pushes its lists polls are not limited: each push counts as a notification to act upon at once, and to
+/// wait for a slot would be to use nodes that have been taken away.
+fn list_polling(
     operator: &Operator,
     config: &mut Config,
     plan: &EngineConfig,
 ) -> Option<(ListPolling, Rc<ListStatus>)> {
     let rules = operator.list.as_ref()?;
     let (status, cache) = discovery::restore(rules, config);
-    // Danger: what is pushed counts as notified at once; to wait for a slot then is to use nodes that have been taken away.
     let schedule =
         (!config.pushed).then(|| discovery::poll_schedule(rules, plan.settings.poll_within, position(plan)));
     if schedule.is_none() {
@@ -115,7 +173,7 @@
 struct Updates {
     in_force: Rc<RefCell<ConfigInForce>>,
     log: Rc<LogHandle>,
-    about: Rc<RefCell<serde_json::Value>>,
+    version_info: Rc<RefCell<serde_json::Value>>,
 }
 
 /// Follows the control services, if there are any, once the engine runs.
@@ -127,18 +185,18 @@
 ) -> StartedHook {
     Box::new(move |engine, addr| {
         let Some(control) = control else { return Ok(()) };
-        let Updates { in_force, log, about } = updates;
+        let Updates { in_force, log, version_info } = updates;
         let (requests, received) = mpsc::channel(1);
         let subscription = Subscription::new(&control, base, requests, engine.counters())
             .map_err(StartError::VersionsThread)?;
-        let updater = ConfigUpdater { engine, in_force, log, about };
+        let updater = ConfigUpdater { engine, in_force, log, version_info };
         tokio::task::spawn_local(updater.run(received));
         subscription.start(control, addr, version).map_err(StartError::VersionsThread)
     })
 }
 
 /// What the admin endpoint answers to a call for the version.
-fn about(resolved: &Resolved, file: Option<&Path>, version: Option<&Version>) -> serde_json::Value {
+fn version_info(resolved: &Resolved, file: Option<&Path>, version: Option<&Version>) -> serde_json::Value {
     serde_json::json!({
         "program": env!("CARGO_PKG_VERSION"),
         "configuration": resolved.digest(),
@@ -147,8 +205,8 @@
     })
 }
 
-/// Puts in force what may change while the proxy runs, and names what waits for a restart. Danger: a file with a mistake in
-/// it must not take a proxy down that serves.
+/// Puts in force what may change while the proxy runs, and names what waits for a restart. A file with a mistake in it
+/// changes nothing, and the proxy serves on.
 fn reload(platform: &Config, in_force: &ConfigInForce, file: Option<&Path>, log: &LogHandle) {
     let source = file.map(operator::source).transpose().map_err(|error| vec![error]);
     let resolved = source.and_then(|file| {
--- a/crates/proxy/src/signals.rs
+++ b/crates/proxy/src/signals.rs
@@ -1,6 +1,6 @@
 //! The signals that the process acts on: SIGTERM and SIGINT stop it, SIGHUP has it read its files again.
 
-use nix::sys::signal::{SigSet, SigmaskHow, Signal as Number};
+use nix::sys::signal::{SigSet, SigmaskHow, Signal as SignalNumber};
 use std::future::Future;
 use std::io;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -40,19 +40,21 @@
     signal(kind).map_err(|source| SignalError { name, source })
 }
 
-/// Runs `start`, and leaves these signals to this thread: the threads that it starts have them blocked.
+/// Runs `start` with these signals blocked in the calling thread. The threads that it creates inherit that, so that the
+/// signals are delivered to the serving thread alone.
 ///
-/// A signal sent to the process goes to any thread that does not block it. The serving thread learns of it from a pipe,
-/// so while another thread is still on its way to write there, the serving thread may accept a connection that has waited
-/// in the queue since before the signal, and that belongs to the successor. A handler on the serving thread itself runs
-/// before that thread waits for events again, and the pipe's event then comes with the listener's.
-pub fn left_to_this_thread<T>(start: impl FnOnce() -> T) -> T {
-    let signals: SigSet = [Number::SIGTERM, Number::SIGINT, Number::SIGHUP].into_iter().collect();
-    // It fails only for a wrong first argument; then nothing has changed.
-    let before = signals.thread_swap_mask(SigmaskHow::SIG_BLOCK);
+/// A signal sent to the process is delivered to any thread that does not block it. The serving thread learns of it from a
+/// pipe, so while another thread is still on its way to write there, the serving thread may accept a connection that has
+/// waited in the queue since before the signal, and that belongs to the successor. A handler on the serving thread itself
+/// runs before that thread waits for events again, and the pipe's event then comes with the listener's.
+pub fn with_signals_blocked<T>(start: impl FnOnce() -> T) -> T {
+    let signals: SigSet =
+        [SignalNumber::SIGTERM, SignalNumber::SIGINT, SignalNumber::SIGHUP].into_iter().collect();
+    // It fails only for a wrong first argument; then the mask has not changed.
+    let previous_mask = signals.thread_swap_mask(SigmaskHow::SIG_BLOCK);
     let started = start();
-    if let Ok(before) = before {
-        let _ = before.thread_set_mask();
+    if let Ok(previous_mask) = previous_mask {
+        let _ = previous_mask.thread_set_mask();
     }
     started
 }
--- a/crates/proxy/src/versions/follow.rs
+++ b/crates/proxy/src/versions/follow.rs
@@ -86,7 +86,7 @@
             tokio::task::LocalSet::new().block_on(&runtime, services);
         };
         let thread = std::thread::Builder::new().name("versions".into());
-        signals::left_to_this_thread(|| thread.spawn(run)).map(drop)
+        signals::with_signals_blocked(|| thread.spawn(run)).map(drop)
     }
 
     async fn request<T>(
--- a/crates/proxy/src/versions/updater.rs
+++ b/crates/proxy/src/versions/updater.rs
@@ -51,7 +51,7 @@
     /// The log.
     pub log: Rc<LogHandle>,
     /// What the admin endpoint answers to a call for the version.
-    pub about: Rc<RefCell<serde_json::Value>>,
+    pub version_info: Rc<RefCell<serde_json::Value>>,
 }
 
 impl ConfigUpdater {
@@ -72,9 +72,9 @@
         let start = Instant::now();
         let plan = self.engine.reconfigure(checked.plan).map_err(|error| error.to_string())?;
         self.log.set_levels(&checked.levels);
-        if let Some(about) = self.about.borrow_mut().as_object_mut() {
-            about.insert("configuration".into(), checked.digest.into());
-            about.insert("version".into(), checked.stamp.into());
+        if let Some(version_info) = self.version_info.borrow_mut().as_object_mut() {
+            version_info.insert("configuration".into(), checked.digest.into());
+            version_info.insert("version".into(), checked.stamp.into());
         }
         let before = self.in_force.replace(checked.in_force);
         Ok(Replaced { took: start.elapsed(), old: (plan, before) })
