--- a/crates/proxy/tests/thread_order.rs
+++ b/crates/proxy/tests/thread_order.rs
@@ -26,6 +26,8 @@
 const PLAYS_AT_A_TIME: usize = 6;
 /// Signals come within so many calls from the start on; the program makes about a hundred until it listens.
 const SIGNAL_WITHIN_CALLS: u64 = 300;
+/// The version of the list that the list service tells a proxy.
+const NEXT_VERSION: u64 = 50;
 /// Orders that the operators give to a proxy.
 const ORDERS_GIVEN: usize = 3;
 
@@ -128,7 +130,9 @@
         let mut config = config(self.discovery.addr, &[member("c0", self.node.addr, "std", "ready")]);
         config["mgmt"] = json!("127.0.0.1:0");
         let file = self.state.path().join("operator.toml");
-        std::fs::write(&file, "[log]\nlevel = \"trace\"\n").expect("written");
+        let state = self.state.path().display();
+        let text = format!("[log]\nlevel = \"trace\"\n[list]\nevery = \"200ms\"\nkeep = \"{state}\"\n");
+        std::fs::write(&file, text).expect("written");
         let armed = |command: &mut Command| {
             command.env("TMPDIR", self.state.path()).env("ANISEYOKE_FILE", &file);
             arm(command, order).expect("armed");
@@ -137,8 +141,27 @@
         Proxy::try_with(&config, armed).map_err(ended)
     }
 
-    /// Has a request served, and orders stored by the pool of blocking threads.
+    /// Answers calls for the list until the proxy has kept one. A SIGHUP ends a call, and another follows.
+    fn tell_list(&self) {
+        let told = list(NEXT_VERSION, true, &[member("c0", self.node.addr, "std", "ready")]).to_string();
+        let kept = self.state.path().join("aniseyoke-list");
+        let (known, version) = (format!("from={NEXT_VERSION}"), format!("\"version\":{NEXT_VERSION}"));
+        let mut calls = Vec::new();
+        until("the list is kept", || {
+            if let Ok(stream) = self.discovery.taken.try_recv() {
+                let mut call = Peer::new(stream);
+                if call.read().is_some_and(|request| !request.line.contains(&known)) {
+                    call.reply("200 OK", "", &told);
+                }
+                calls.push(call);
+            }
+            std::fs::read_to_string(&kept).is_ok_and(|text| text.contains(&version))
+        });
+    }
+
+    /// Has a list kept by the background writer, a request served, and orders stored by the pool of blocking threads.
     fn serve(&self, proxy: &Proxy, door: SocketAddr) {
+        self.tell_list();
         let mut client = proxy.client();
         client.ask("read", "");
         let mut asked = self.node.take();
