--- a/crates/turns/src/scheduler.rs
+++ b/crates/turns/src/scheduler.rs
@@ -26,21 +26,34 @@
 
 /// A call at which the turn may go to another thread.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[allow(missing_docs)]
 pub enum Call {
+    /// A connection is taken.
     Accept,
+    /// A connection is made.
     Connect,
+    /// A thread is started.
     CreateThread,
+    /// A thread ends.
     EndThread,
+    /// A wait for events of descriptors through epoll.
     EpollWait,
+    /// A wait at a futex.
     FutexWait,
+    /// A wake-up at a futex.
     FutexWake,
+    /// A wait for a thread's end.
     JoinThread,
+    /// A wait for events of descriptors.
     Poll,
+    /// Bytes are taken.
     Receive,
+    /// Bytes are given.
     Send,
+    /// A thread blocks signals, or no longer does.
     SignalMask,
+    /// A wait for a time.
     Sleep,
+    /// A thread lets others run.
     Yield,
 }
 
