Start and end the real proxy many times, with calls held up and a log that is not read

Whether the proxy itself can spin, hang or end otherwise than it should at its start, idle or at its end was tried by no test.

Change: the crate lab-starts and the subcommand `starts`: each start is drawn from a seed, and one call of one thread is held up in turn. The preload library knows futex, sched_yield and pthread_sigmask, and rules about a thread's name. The busy threads of the soak move to lab-process, unchanged.

--- a/crates/faults-preload/src/engine.rs
+++ b/crates/faults-preload/src/engine.rs
@@ -211,6 +211,7 @@
 fn applies(about: &About, subject: Subject<'_>) -> bool {
     match (about, subject) {
         (About::Any, _) => true,
+        (About::Thread(name), _) => thread_is_named(name),
         (About::Sockets | About::LocalPort(_) | About::Arrived(_) | About::PeerPort(_), Subject::Path(_)) => {
             false
         }
@@ -230,6 +231,17 @@
     }
 }
 
+/// Bytes of a thread's name, with the zero byte at its end.
+const THREAD_NAME_BYTES: usize = 16;
+
+/// Whether the calling thread has this name.
+fn thread_is_named(name: &str) -> bool {
+    let mut bytes = [0u8; THREAD_NAME_BYTES];
+    // SAFETY: the call writes a name of at most this many bytes, the zero byte included.
+    let done = unsafe { libc::prctl(libc::PR_GET_NAME, bytes.as_mut_ptr()) };
+    done == 0 && CStr::from_bytes_until_nul(&bytes).is_ok_and(|found| found.to_bytes() == name.as_bytes())
+}
+
 trait StartsWithText {
     fn starts_with_text(&self, prefix: &Path) -> bool;
 }
--- a/crates/faults-preload/src/lib.rs
+++ b/crates/faults-preload/src/lib.rs
@@ -7,3 +7,4 @@
 mod files;
 mod sockets;
 mod streams;
+mod threads;
--- a/crates/faults/src/plan.rs
+++ b/crates/faults/src/plan.rs
@@ -36,6 +36,12 @@
     ClockGettime,
     /// `clock_gettime` of the wall clock, `gettimeofday` and `time`.
     WallClock,
+    /// The `futex` system call, with which the standard library's locks, channels and parked threads wait and wake.
+    Futex,
+    /// `sched_yield`.
+    SchedYield,
+    /// `pthread_sigmask`.
+    SignalMask,
 }
 
 impl Call {
@@ -62,6 +68,8 @@
     PeerPort(u16),
     /// A file whose path begins so.
     Files(PathBuf),
+    /// Anything that is called by a thread of this name.
+    Thread(String),
 }
 
 /// What becomes of a call.
--- a/crates/lab-process/src/lib.rs
+++ b/crates/lab-process/src/lib.rs
@@ -2,6 +2,7 @@
 #![deny(unsafe_code)]
 #![deny(missing_docs)]
 
+mod busy_threads;
 mod descriptors;
 mod error;
 mod find;
@@ -13,6 +14,7 @@
 
 use aniseyoke_lab_day::FileError;
 
+pub use busy_threads::BusyThreads;
 pub use descriptors::raise_descriptor_limit;
 pub use error::ProcessError;
 pub use find::{find_control, find_file, find_proxy};
--- a/crates/lab-soak/src/batch.rs
+++ b/crates/lab-soak/src/batch.rs
@@ -4,11 +4,11 @@
 use crate::run::run;
 use crate::verdict::RunReport;
 use crate::SoakError;
+use aniseyoke_lab_process::BusyThreads;
 use std::ops::RangeInclusive;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::JoinHandle;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 
 /// Runs at once at most.
 pub const MAX_JOBS: usize = 64;
@@ -95,37 +95,3 @@
     // What stays behind is only in the way of nobody.
     let _ = std::fs::remove_dir_all(folder);
 }
-
-/// Threads that keep processors busy until this is dropped.
-struct BusyThreads {
-    over: Arc<AtomicBool>,
-    threads: Vec<JoinHandle<()>>,
-}
-
-impl BusyThreads {
-    fn start(count: usize) -> Self {
-        let over = Arc::new(AtomicBool::new(false));
-        let spin = |over: Arc<AtomicBool>| {
-            while !over.load(Ordering::Relaxed) {
-                std::hint::spin_loop();
-            }
-        };
-        let threads = (0..count)
-            .map(|_| {
-                let over = over.clone();
-                std::thread::spawn(move || spin(over))
-            })
-            .collect();
-        BusyThreads { over, threads }
-    }
-}
-
-impl Drop for BusyThreads {
-    fn drop(&mut self) {
-        self.over.store(true, Ordering::Relaxed);
-        for thread in self.threads.drain(..) {
-            // A thread that spins can't panic.
-            let _ = thread.join();
-        }
-    }
-}
--- /dev/null
+++ b/crates/lab-starts/src/plan.rs
@@ -0,0 +1,186 @@
+//! What a seed and a number decide of a start.
+
+use aniseyoke_faults::{About, Call, Effect, Often, Plan, Rule};
+use rand::rngs::Xoshiro256PlusPlus;
+use rand::{RngExt, SeedableRng};
+use serde::Serialize;
+use std::time::Duration;
+
+/// The name of the rule that holds a call up.
+const RULE: &str = "hold";
+/// Calls of a kind that are held up in turn, from the first on.
+const MAX_NTH: u64 = 24;
+/// How long a call is held up, in milliseconds; one of these is drawn.
+const HOLDS_MS: [u64; 6] = [1, 5, 20, 60, 200, 500];
+/// The longest deadline of the classes, in milliseconds; one of these is drawn.
+const DEADLINES_MS: [u64; 3] = [200, 1000, 4000];
+/// SIGTERM comes this long after the process was started at the latest, where it does not wait for the proxy.
+const EARLY_WITHIN_US: u64 = 60_000;
+/// SIGTERM comes this long after the proxy listens at the latest.
+const LATER_WITHIN_MS: u64 = 300;
+/// A proxy that is watched while it is idle is told to stop after this time, in milliseconds.
+const IDLE_MS: u64 = 1300;
+/// One start in so many is watched while idle.
+const IDLE_ONE_IN: u64 = 25;
+/// A log that is stalled is read this long after SIGTERM at the latest.
+const STALLED_WITHIN_MS: u64 = 300;
+/// SIGHUP comes so many times at most.
+const MAX_HANGUPS: u64 = 6;
+
+/// The calls that are held up in turn.
+pub const HELD_CALLS: [Call; 13] = [
+    Call::Futex,
+    Call::SchedYield,
+    Call::SignalMask,
+    Call::Write,
+    Call::Writev,
+    Call::Read,
+    Call::Recv,
+    Call::Open,
+    Call::EpollWait,
+    Call::Socket,
+    Call::Connect,
+    Call::ClockGettime,
+    Call::WallClock,
+];
+
+/// Whose calls are held up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum HeldThread {
+    /// Those of any thread.
+    Any,
+    /// Those of the serving thread.
+    Serving,
+    /// Those of the thread that writes the log.
+    Log,
+}
+
+/// The threads whose calls are held up in turn.
+const HELD_THREADS: [HeldThread; 3] = [HeldThread::Any, HeldThread::Serving, HeldThread::Log];
+
+/// When the count of calls begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Phase {
+    /// With the process.
+    Start,
+    /// Just before SIGTERM.
+    End,
+}
+
+/// One call that is held up.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Hold {
+    /// Whose call.
+    pub thread: HeldThread,
+    /// Which kind.
+    pub call: Call,
+    /// Which one of this kind, counted from 1.
+    pub nth: u64,
+    /// From when on it is counted.
+    pub phase: Phase,
+    /// For how long, in milliseconds.
+    pub hold_ms: u64,
+    /// After the call was made; before it otherwise.
+    pub after: bool,
+}
+
+/// What becomes of the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Reader {
+    /// It is read as it comes.
+    Reads,
+    /// Its pipe is full, and is read from this time after SIGTERM on, in milliseconds.
+    Stalled(u64),
+    /// Its pipe is full, and is not read.
+    NeverReads,
+    /// Its reader has gone.
+    Gone,
+    /// Standard error is closed.
+    Closed,
+}
+
+/// When SIGTERM comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Terminate {
+    /// So many microseconds after the process was started.
+    AfterSpawn(u64),
+    /// So many milliseconds after the proxy listens.
+    AfterReady(u64),
+}
+
+/// A start.
+#[derive(Clone, Debug, Serialize)]
+pub struct StartPlan {
+    /// What was drawn from.
+    pub seed: u64,
+    /// Which start of this seed.
+    pub number: u64,
+    /// The call that is held up.
+    pub hold: Hold,
+    /// What becomes of the log.
+    pub reader: Reader,
+    /// The longest deadline of the classes, in milliseconds.
+    pub longest_deadline_ms: u64,
+    /// How many SIGHUP come one after the other before SIGTERM, once the proxy listens.
+    pub hangups: u64,
+    /// When SIGTERM comes.
+    pub terminate: Terminate,
+}
+
+impl StartPlan {
+    /// Draws a start. Which call is held up goes through all of them in turn; the rest is drawn.
+    pub fn draw(seed: u64, number: u64) -> Self {
+        let mut random =
+            Xoshiro256PlusPlus::seed_from_u64(aniseyoke_lab_day::clock::mix(seed, 0x57a7, number));
+        let mut turn = number;
+        let mut next = |choices: usize| {
+            let choice = turn % choices as u64;
+            turn /= choices as u64;
+            choice
+        };
+        let phase = if next(2) == 0 { Phase::Start } else { Phase::End };
+        let call = HELD_CALLS[next(HELD_CALLS.len()) as usize];
+        let thread = HELD_THREADS[next(HELD_THREADS.len()) as usize];
+        let nth = 1 + next(MAX_NTH as usize);
+        let hold_ms = HOLDS_MS[random.random_range(0..HOLDS_MS.len())];
+        let hold = Hold { thread, call, nth, phase, hold_ms, after: random.random() };
+        let reader = match random.random_range(0..10) {
+            0..5 => Reader::Reads,
+            5..7 => Reader::Stalled(random.random_range(0..=STALLED_WITHIN_MS)),
+            7 => Reader::NeverReads,
+            8 => Reader::Gone,
+            _ => Reader::Closed,
+        };
+        let terminate = match random.random_range(0..10) {
+            _ if random.random_range(0..IDLE_ONE_IN) == 0 => Terminate::AfterReady(IDLE_MS),
+            0..3 => Terminate::AfterSpawn(random.random_range(0..EARLY_WITHIN_US)),
+            3..7 => Terminate::AfterReady(0),
+            _ => Terminate::AfterReady(random.random_range(0..LATER_WITHIN_MS)),
+        };
+        let longest_deadline_ms = DEADLINES_MS[random.random_range(0..DEADLINES_MS.len())];
+        let hangups = if random.random() { random.random_range(1..=MAX_HANGUPS) } else { 0 };
+        StartPlan { seed, number, hold, reader, longest_deadline_ms, hangups, terminate }
+    }
+
+    /// How long the harness itself holds the process up, at most.
+    pub fn held(&self) -> Duration {
+        Duration::from_millis(self.hold.hold_ms)
+    }
+}
+
+impl Hold {
+    /// The plan of the preload library for a phase.
+    pub fn plan(&self, phase: Phase) -> Plan {
+        if phase != self.phase {
+            return Plan::default();
+        }
+        let micros = self.hold_ms * 1000;
+        let effect = if self.after { Effect::DelayAfter(micros) } else { Effect::DelayBefore(micros) };
+        let about = match self.thread {
+            HeldThread::Any => About::Any,
+            HeldThread::Serving => About::Thread("aniseyoke".to_owned()),
+            HeldThread::Log => About::Thread("log".to_owned()),
+        };
+        Plan::new(0, &[Rule::new(RULE, &[self.call], effect).about(about).often(Often::Only(self.nth))])
+    }
+}
--- /dev/null
+++ b/crates/lab-starts/src/tests.rs
@@ -0,0 +1,88 @@
+use crate::plan::{Phase, Reader, StartPlan, Terminate, HELD_CALLS};
+use crate::threads::Spent;
+use crate::verdict::{allowed_end, End, Fault, StartReport};
+use std::collections::HashSet;
+use std::os::unix::process::ExitStatusExt;
+use std::process::ExitStatus;
+use std::time::Duration;
+
+/// One after the other of all calls, threads and phases.
+const ALL_KINDS: u64 = 2 * HELD_CALLS.len() as u64 * 3;
+
+#[test]
+fn a_start_is_drawn_again_the_same_and_each_kind_of_call_has_its_turn() {
+    let text = |seed, number| format!("{:?}", StartPlan::draw(seed, number));
+    assert_eq!(text(7, 123), text(7, 123));
+    assert_ne!(text(7, 123), text(8, 123));
+    let holds = (0..ALL_KINDS).map(|number| StartPlan::draw(7, number).hold);
+    let kinds: HashSet<String> =
+        holds.map(|h| format!("{:?} {:?} {:?}", h.thread, h.call, h.phase)).collect();
+    assert_eq!(kinds.len() as u64, ALL_KINDS);
+    assert_eq!(StartPlan::draw(7, ALL_KINDS).hold.nth, 2);
+}
+
+#[test]
+fn a_call_is_held_up_in_its_phase_alone() {
+    let hold = StartPlan::draw(7, 0).hold;
+    assert_eq!(
+        (hold.phase, hold.plan(Phase::Start).rules.len(), hold.plan(Phase::End).rules.len()),
+        (Phase::Start, 1, 0)
+    );
+}
+
+fn spent(ran_ms: u64, waited_ms: u64) -> Spent {
+    let [elapsed, ran, waited] = [1000, ran_ms, waited_ms].map(Duration::from_millis);
+    Spent { thread: "log".into(), elapsed, ran, waited }
+}
+
+/// A thread that is kept from a processor is the machine's doing, and one that never sleeps is not.
+#[test]
+fn a_thread_that_spins_is_told_from_one_that_starves_and_from_one_that_works() {
+    let judged = |spent: Spent| (spent.spins(), spent.starves());
+    assert_eq!(judged(spent(970, 10)), (true, false));
+    assert_eq!(judged(spent(300, 690)), (true, true), "it spins on a busy machine");
+    assert_eq!(judged(spent(50, 900)), (false, true), "it starves");
+    assert_eq!(judged(spent(500, 20)), (false, false), "it sleeps half of the time");
+}
+
+fn plan(terminate: Terminate) -> StartPlan {
+    let mut plan = StartPlan::draw(1, 1);
+    plan.hold.hold_ms = 60;
+    plan.longest_deadline_ms = 4000;
+    plan.reader = Reader::Reads;
+    plan.terminate = terminate;
+    plan
+}
+
+fn ended(terminate: Terminate, ready: bool, status: i32, took_ms: u64) -> Vec<Fault> {
+    let mut report = StartReport::new(plan(terminate));
+    report.ready_after = ready.then_some(Duration::ZERO);
+    let (took, status) = (Duration::from_millis(took_ms), ExitStatus::from_raw(status));
+    report.judge_end(&End { took, status, killed: false });
+    report.faults
+}
+
+#[test]
+fn an_end_is_judged_by_its_time_and_its_status() {
+    let (early, late) = (Terminate::AfterSpawn(0), Terminate::AfterReady(0));
+    // The longest deadline counts as 3 s, 0.7 s come on top, and the harness held it up for 0.06 s.
+    assert_eq!(allowed_end(&plan(late)), Duration::from_millis(3760));
+    assert_eq!(ended(late, true, 0, 3760), []);
+    assert!(matches!(ended(late, true, 0, 3761)[..], [Fault::EndsLate { .. }]));
+    assert!(matches!(ended(late, true, 1 << 8, 0)[..], [Fault::WrongStatus(_)]));
+    assert!(matches!(ended(late, true, nix::libc::SIGTERM, 0)[..], [Fault::WrongStatus(_)]));
+    assert_eq!(ended(early, false, nix::libc::SIGTERM, 0), [], "it was not handled yet");
+    assert!(matches!(ended(early, false, nix::libc::SIGABRT, 0)[..], [Fault::WrongStatus(_)]));
+}
+
+#[test]
+fn the_lines_of_start_and_end_must_be_there_where_the_log_is_read() {
+    let mut report = StartReport::new(plan(Terminate::AfterReady(0)));
+    report.lines = vec!["aniseyoke: listening on 127.0.0.1:1".into()];
+    report.judge_log();
+    assert_eq!(report.faults, [Fault::LineMissing("draining")]);
+    report.faults.clear();
+    report.plan.reader = Reader::Gone;
+    report.judge_log();
+    assert_eq!(report.faults, []);
+}
--- /dev/null
+++ b/crates/lab-starts/tests/planted/sound.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Behaves as a proxy should: listens, and ends when it is told to.
+trap 'echo draining >&2; exit 0' TERM
+trap '' HUP
+echo 'listening on 127.0.0.1:1' >&2
+while :; do
+  sleep 0.05 2>/dev/null
+done
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -8,6 +8,7 @@
 mod sim;
 mod slopes;
 mod soak;
+mod starts;
 mod trial;
 mod versions;
 
@@ -48,6 +49,8 @@
     Chaos(chaos::ChaosArgs),
     /// Restart real proxies under load, as seeds decide: signals in series, crowds, hanging nodes, the earliest kill.
     Soak(soak::SoakArgs),
+    /// Start and end the real proxy many times, with calls held up and a log that is not read, as a seed decides.
+    Starts(starts::StartsArgs),
     /// Play a scale experiment: real proxies beside hollow ones, purges and changes, before one control service or relays.
     Scale(scale::ScaleArgs),
     /// Publish versions of the configuration to a fleet of real proxies, and measure what they take.
@@ -161,6 +164,7 @@
         Command::Sim(args) => sim::run(&args),
         Command::Chaos(args) => chaos::run(&args),
         Command::Soak(args) => soak::run(&args),
+        Command::Starts(args) => starts::run(&args),
         Command::Versions(args) => versions::run(&args),
         Command::Slopes(args) => slopes::run(&args),
         Command::Capacity(args) => capacity::run(&args),
--- a/crates/lab/src/cli/error.rs
+++ b/crates/lab/src/cli/error.rs
@@ -9,6 +9,7 @@
 use aniseyoke_lab_scale::error::ScaleError;
 use aniseyoke_lab_scale::versions::VersionsError;
 use aniseyoke_lab_soak::SoakError;
+use aniseyoke_lab_starts::StartsError;
 use aniseyoke_lab_trial::TrialError;
 use std::io;
 
@@ -42,6 +43,9 @@
     /// A run of the soak could not be played.
     #[error(transparent)]
     Soak(#[from] SoakError),
+    /// A start could not be played.
+    #[error(transparent)]
+    Starts(#[from] StartsError),
     /// Versions could not be measured.
     #[error(transparent)]
     Versions(#[from] VersionsError),
