Have the preload library take no memory for a call of a signal handler

Cause: the signal handler's write is the first call that finds the new plan; the library read it, and took memory, within the handler, while the thread that was interrupted could hold the allocator's lock.

Change: a line of the library's log is written from the stack, and the harness sends no signal before a rule without delay has told that the new plan was read.

--- a/crates/faults-preload/src/engine.rs
+++ b/crates/faults-preload/src/engine.rs
@@ -171,7 +171,7 @@
                 continue;
             }
             if let Some(log) = &mut self.log {
-                let _ = log.write_all(format!("{} {call:?} {:?}\n", rule.name, rule.effect).as_bytes());
+                log_forced(log, rule, call);
             }
             match rule.effect {
                 Effect::DelayBefore(micros) => verdict.before += Duration::from_micros(micros),
@@ -234,6 +234,20 @@
 /// Bytes of a thread's name, with the zero byte at its end.
 const THREAD_NAME_BYTES: usize = 16;
 
+/// Longer lines of the log are cut, in bytes.
+const MAX_LINE_BYTES: usize = 256;
+
+/// Writes that a rule has struck. Danger: the call may be one of a signal handler, which must not take memory: the thread
+/// that it interrupts may hold the allocator's lock.
+fn log_forced(log: &mut File, rule: &Rule, call: Call) {
+    let mut line = [0u8; MAX_LINE_BYTES];
+    let mut rest = &mut line[..];
+    // What does not fit is cut.
+    let _ = writeln!(rest, "{} {call:?} {:?}", rule.name, rule.effect);
+    let left = rest.len();
+    let _ = log.write_all(&line[..MAX_LINE_BYTES - left]);
+}
+
 /// Whether the calling thread has this name.
 fn thread_is_named(name: &str) -> bool {
     let mut bytes = [0u8; THREAD_NAME_BYTES];
--- a/crates/lab-starts/src/error.rs
+++ b/crates/lab-starts/src/error.rs
@@ -19,6 +19,9 @@
     /// A later plan of calls to be held up can't be written.
     #[error("{0}")]
     Plan(PlanError),
+    /// The process did not take up another plan of calls to be held up.
+    #[error("the plan of the end was not in force after {0:?}")]
+    NotInForce(std::time::Duration),
     /// The pipe for the log could not be made.
     #[error("pipe: {0}")]
     Pipe(#[source] io::Error),
--- a/crates/lab-starts/src/plan.rs
+++ b/crates/lab-starts/src/plan.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 /// The name of the rule that holds a call up.
-const RULE: &str = "hold";
+pub(crate) const RULE: &str = "hold";
+/// The name of the rule that tells that a plan is in force.
+pub(crate) const IN_FORCE_RULE: &str = "in-force";
 /// Calls of a kind that are held up in turn, from the first on.
 const MAX_NTH: u64 = 24;
 /// How long a call is held up, in milliseconds; one of these is drawn.
@@ -63,7 +65,7 @@
 pub enum Phase {
     /// With the process.
     Start,
-    /// Just before SIGTERM.
+    /// Just before the signals, where these wait until the proxy listens.
     End,
 }
 
@@ -169,11 +171,18 @@
 }
 
 impl Hold {
-    /// The plan of the preload library for a phase.
+    /// The plan of the preload library for a phase. Its first rule delays nothing, and tells that the plan is in force.
     pub fn plan(&self, phase: Phase) -> Plan {
-        if phase != self.phase {
-            return Plan::default();
+        let in_force =
+            Rule::new(IN_FORCE_RULE, &[Call::ClockGettime, Call::EpollWait], Effect::DelayBefore(0));
+        let mut rules = vec![in_force.often(Often::First(1))];
+        if phase == self.phase {
+            rules.push(self.rule());
         }
+        Plan::new(0, &rules)
+    }
+
+    fn rule(&self) -> Rule {
         let micros = self.hold_ms * 1000;
         let effect = if self.after { Effect::DelayAfter(micros) } else { Effect::DelayBefore(micros) };
         let about = match self.thread {
@@ -181,6 +190,6 @@
             HeldThread::Serving => About::Thread("aniseyoke".to_owned()),
             HeldThread::Log => About::Thread("log".to_owned()),
         };
-        Plan::new(0, &[Rule::new(RULE, &[self.call], effect).about(about).often(Often::Only(self.nth))])
+        Rule::new(RULE, &[self.call], effect).about(about).often(Often::Only(self.nth))
     }
 }
--- a/crates/lab-starts/src/run.rs
+++ b/crates/lab-starts/src/run.rs
@@ -1,7 +1,7 @@
 //! One start from the beginning to the end of the process.
 
 use crate::log_pipe::LogPipe;
-use crate::plan::{Phase, Reader, StartPlan, Terminate};
+use crate::plan::{Phase, Reader, StartPlan, Terminate, IN_FORCE_RULE, RULE};
 use crate::ready::listens;
 use crate::threads::{sample, ThreadWatch};
 use crate::verdict::{allowed_end, End, Fault, StartReport, LISTENING_LINE, READY_WITHIN};
@@ -27,6 +27,8 @@
 const THREADS_INTERVAL: Duration = Duration::from_millis(100);
 /// A process that is late is watched for this time before it is killed, so that its threads are seen to spin or to wait.
 const LATE_WATCH: Duration = Duration::from_millis(2500);
+/// A process that listens makes a call by which it takes up another plan within this time.
+const IN_FORCE_WITHIN: Duration = Duration::from_secs(30);
 /// The shell's line that starts a program without standard error.
 const WITHOUT_STANDARD_ERROR: &str = r#"exec "$0" "$@" 2>&-"#;
 
@@ -52,7 +54,7 @@
     let _ = start.child.wait();
     let Start { pipe, armed, mut report, .. } = start;
     report.lines = pipe.close();
-    report.held_calls = armed.map_or(0, |armed| armed.forced("hold"));
+    report.held_calls = armed.map_or(0, |armed| armed.forced(RULE));
     if outcome?.is_some_and(|status| status.success()) {
         report.judge_log();
     }
@@ -94,16 +96,34 @@
                 if !self.wait_until_ready()? || !self.stay(Duration::from_millis(millis))? {
                     return Ok(None);
                 }
+                if !self.begin_end_phase()? {
+                    return Ok(None);
+                }
                 (0..self.report.plan.hangups).for_each(|_| self.send(Signal::SIGHUP));
             }
         }
-        if let Some(armed) = &self.armed {
-            armed.change(&self.report.plan.hold.plan(Phase::End)).map_err(StartsError::Plan)?;
-        }
         self.send(Signal::SIGTERM);
         self.wait_for_end()
     }
 
+    /// Puts the plan of the end in force; whether the process is still there. Danger: the library takes memory to read a plan, which
+    /// the signal handler of the process must not do, so that no signal is sent before the plan was read.
+    fn begin_end_phase(&mut self) -> Result<bool, StartsError> {
+        let Some(armed) = self.armed.clone() else { return Ok(true) };
+        let before = armed.forced(IN_FORCE_RULE);
+        armed.change(&self.report.plan.hold.plan(Phase::End)).map_err(StartsError::Plan)?;
+        let until = Instant::now() + IN_FORCE_WITHIN;
+        while armed.forced(IN_FORCE_RULE) == before {
+            if Instant::now() > until {
+                return Err(StartsError::NotInForce(IN_FORCE_WITHIN));
+            }
+            if !self.stay(POLL_INTERVAL)? {
+                return Ok(false);
+            }
+        }
+        Ok(true)
+    }
+
     fn send(&self, signal: Signal) {
         // A process that has ended is not waited for yet, so that its id is still its own.
         let _ = kill(Pid::from_raw(self.child.id() as i32), signal);
--- a/crates/lab-starts/src/tests.rs
+++ b/crates/lab-starts/src/tests.rs
@@ -1,4 +1,4 @@
-use crate::plan::{Phase, Reader, StartPlan, Terminate, HELD_CALLS};
+use crate::plan::{Phase, Reader, StartPlan, Terminate, HELD_CALLS, RULE};
 use crate::threads::Spent;
 use crate::verdict::{allowed_end, End, Fault, StartReport};
 use std::collections::HashSet;
@@ -24,10 +24,8 @@
 #[test]
 fn a_call_is_held_up_in_its_phase_alone() {
     let hold = StartPlan::draw(7, 0).hold;
-    assert_eq!(
-        (hold.phase, hold.plan(Phase::Start).rules.len(), hold.plan(Phase::End).rules.len()),
-        (Phase::Start, 1, 0)
-    );
+    let held = |phase| hold.plan(phase).rules.iter().filter(|rule| rule.name == RULE).count();
+    assert_eq!((hold.phase, held(Phase::Start), held(Phase::End)), (Phase::Start, 1, 0));
 }
 
 fn spent(ran_ms: u64, waited_ms: u64) -> Spent {
