List and test four ways in which a log that nobody reads holds up the proxy's end

Seen with the harness of starts: a proxy whose log is a full pipe ends 1.45 s after SIGTERM, with a longest deadline of 0.2 s, where 0.9 s are allowed. Read and tried from there: with 1024 lines waiting and standard output on the same pipe it never ends; a start that fails never ends where standard error is full, and panics (status 101) where its reader has gone.

Cause: tracing-appender's guard waits up to 0.1 s for room and 1 s for its worker, and prints to standard output when there is no room (its non_blocking.rs, Drop of WorkerGuard); LogHandle leaves the end to it (crates/logging/src/lib.rs). serve::run prints with eprintln! (crates/proxy/src/serve.rs).

--- /dev/null
+++ b/crates/proxy/tests/unread_log.rs
@@ -0,0 +1,153 @@
+//! A log that nobody reads any more: its pipe is full, or its reader has gone. It keeps no process from its end.
+
+mod rig;
+
+use nix::fcntl::{fcntl, FcntlArg, OFlag};
+use rig::*;
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, ErrorKind, PipeReader, PipeWriter, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+/// The longest deadline of these tests.
+const DEADLINE: Duration = Duration::from_millis(200);
+/// A process may be killed this long after SIGTERM and the longest deadline.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// More lines than may wait to be written.
+const LINES: usize = 1100;
+/// Each connection of a client is worth a line or more.
+const LOG_EACH_CONNECTION: &str =
+    "[log]\nburst = 100000\nper_second = 10000\n[log.targets]\nfront = \"debug\"\n";
+
+fn short_config() -> Value {
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    let mut config = config(nowhere, &[]);
+    for class in config["settings"]["categories"].as_array_mut().expect("classes") {
+        class["deadline_ns"] = json!(DEADLINE.as_nanos() as u64);
+        class["promise_ns"] = json!(DEADLINE.as_nanos() as u64);
+    }
+    config
+}
+
+/// Writes empty lines to a pipe until no more fit.
+fn fill(pipe: &mut PipeWriter) {
+    fcntl(&*pipe, FcntlArg::F_SETFL(OFlag::O_NONBLOCK)).expect("set");
+    // A write of up to a page is made whole or not at all, so that single bytes fill what is left.
+    for length in [4096, 1] {
+        let full = loop {
+            if let Err(error) = pipe.write(&[b'\n'; 4096][..length]) {
+                break error;
+            }
+        };
+        assert_eq!(full.kind(), ErrorKind::WouldBlock);
+    }
+    fcntl(&*pipe, FcntlArg::F_SETFL(OFlag::empty())).expect("set");
+}
+
+/// A proxy whose log was read until it listened, and is full since.
+struct Unread {
+    child: Child,
+    addr: SocketAddr,
+    _pipe: (BufReader<PipeReader>, PipeWriter),
+}
+
+impl Unread {
+    /// Starts it; standard output is the same pipe, or nothing.
+    fn start(output_too: bool, more: impl FnOnce(&mut Command)) -> Self {
+        let (reader, mut writer) = std::io::pipe().expect("a pipe");
+        let error = writer.try_clone().expect("a copy");
+        let output = output_too.then(|| writer.try_clone().expect("a copy"));
+        let (child, _) = start_with(&short_config().to_string(), |command| {
+            command.stdout(output.map_or_else(Stdio::null, Stdio::from)).stderr(error);
+            more(command);
+        });
+        let mut reader = BufReader::new(reader);
+        let mut line = String::new();
+        while !line.contains("listening on") {
+            line.clear();
+            assert!(reader.read_line(&mut line).expect("a line") > 0, "the log ended");
+        }
+        fill(&mut writer);
+        let addr = line.trim().rsplit(' ').next().and_then(|addr| addr.parse().ok()).expect("an address");
+        Unread { child, addr, _pipe: (reader, writer) }
+    }
+
+    fn terminate(&self) {
+        let done = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        assert!(done.expect("kill").success());
+    }
+}
+
+impl Drop for Unread {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// How a process ends within a time; `None` if it has not.
+fn end_within(child: &mut Child, time: Duration) -> Option<ExitStatus> {
+    let until = Instant::now() + time;
+    loop {
+        let status = child.try_wait().expect("its status");
+        if status.is_some() || Instant::now() > until {
+            return status;
+        }
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Guards against an end that waits for a log that nobody reads, until the process is killed.
+#[test]
+fn a_process_whose_log_is_not_read_ends_before_it_may_be_killed() {
+    let mut proxy = Unread::start(false, |_| {});
+    proxy.terminate();
+    let status = end_within(&mut proxy.child, DEADLINE + KILL_MARGIN);
+    assert_eq!(status.and_then(|status| status.code()), Some(0), "ended by the time of the kill");
+}
+
+/// Guards against an end that writes to standard output, and for ever where that is the log's own pipe.
+#[test]
+fn a_process_whose_log_and_output_are_one_full_pipe_ends_though_lines_still_wait() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("operator.toml");
+    std::fs::write(&file, LOG_EACH_CONNECTION).expect("written");
+    let mut proxy = Unread::start(true, |command| _ = command.env("ANISEYOKE_FILE", &file));
+    (0..LINES).for_each(|_| _ = Peer::health(proxy.addr));
+    proxy.terminate();
+    let status = end_within(&mut proxy.child, LONG);
+    assert_eq!(status.and_then(|status| status.code()), Some(0), "ended at all");
+}
+
+/// A start that fails: its address is taken.
+fn failed_start(error: PipeWriter) {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("bound");
+    let mut config = short_config();
+    config["listen"] = json!(taken.local_addr().expect("an address").to_string());
+    let (mut child, _) = start_with(&config.to_string(), |command| {
+        command.stdout(Stdio::null()).stderr(error);
+    });
+    let status = end_within(&mut child, LONG);
+    if status.is_none() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+    assert_eq!(status.and_then(|status| status.code()), Some(1), "{status:?}");
+}
+
+/// Guards against a start that fails and stays for ever, since it can't say why.
+#[test]
+fn a_start_that_fails_ends_though_its_log_is_not_read() {
+    let (_reader, mut writer) = std::io::pipe().expect("a pipe");
+    fill(&mut writer);
+    failed_start(writer);
+}
+
+/// Guards against a start that fails and panics, since it can't say why.
+#[test]
+fn a_start_that_fails_ends_with_its_status_though_the_reader_of_its_log_has_gone() {
+    let (reader, writer) = std::io::pipe().expect("a pipe");
+    drop(reader);
+    failed_start(writer);
+}
