Join the starts' preload calls with the crate that holds the interposition

Need: the two tools were written apart; threads.rs named the macro's former module, so that the workspace did not build. Change: the import alone.

--- a/crates/faults-preload/src/threads.rs
+++ b/crates/faults-preload/src/threads.rs
@@ -1,8 +1,8 @@
 //! Calls with which threads wait for each other, let others run, and block signals.
 
 use crate::engine::{guarded, Subject};
-use crate::next::interpose;
 use aniseyoke_faults::Call;
+use aniseyoke_interpose::interpose;
 use libc::{c_int, c_long, sigset_t};
 
 // `syscall` takes a variable number of arguments, six at most after the number. Those that the caller left out come in the same
