Write the log from a queue of a lock and condition variables, which never spins

What callers saw: a proxy whose log is a full pipe that nobody reads ended 1.45 to 1.7 s after SIGTERM where 0.9 s are allowed (deadline 0.2 s), and never with 1,024 lines waiting and standard output on the same pipe: it was killed. Where one thread runs at a time it spins.

Cause: tracing-appender's guard and its worker meet in a crossbeam channel without room: whoever is met yields without bound until the other has done its half (crossbeam-channel 0.5.17, flavors/zero.rs:79); the guard waits 0.1 s for room and 1 s for the worker, and prints to standard output where there is no room.

Change: crates/logging/src/queue.rs, one lock held for a few instructions, two condition variables. The end waits 0.25 s at most for the last lines, and no longer than until 0.05 s before the process may be killed (`LogHandle::close_by`). Nothing prints to standard output. Why it works: neither side ever depends on the other's half-done operation but in a wait that the kernel ends, and the wait has a limit.

Standard error for the first lines is opened at the first such line, not at every start.

--- a/crates/logging/src/early.rs
+++ b/crates/logging/src/early.rs
@@ -2,24 +2,17 @@
 
 use crate::layer::{LineLayer, LineOutput, LineWriter};
 use crate::Options;
-use nix::fcntl::OFlag;
-use std::fs::{File, OpenOptions};
 use std::io::Write;
-use std::os::fd::AsFd;
-use std::os::unix::fs::{FileTypeExt, OpenOptionsExt};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tracing_subscriber::filter::Targets;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::Registry;
 
-/// The file of standard error, from which another description of it is opened.
-const STANDARD_ERROR: &str = "/proc/self/fd/2";
-
 /// Calls `body`, whose lines this thread writes to `out`, and returns those that `out` did not take, in their order.
 ///
 /// `out` must return an error where it would have to wait. After the first line that it did not take it gets no other, so
 /// that the order stays.
-pub fn write_lines_of<W>(options: &Options, out: Option<W>, body: impl FnOnce()) -> Vec<String>
+pub fn write_lines_of<W>(options: &Options, out: W, body: impl FnOnce()) -> Vec<String>
 where
     W: Write + Send + 'static,
 {
@@ -30,24 +23,6 @@
     lines.output().take_not_written()
 }
 
-/// Standard error as a file to which a write never waits; none where that can't be had.
-///
-/// A pipe or a terminal may have nobody who reads it. It is opened once more, because the flag against waiting belongs to
-/// the open file description, which other processes share. A regular file waits for nobody and is used as it is: opened
-/// once more it would be written from its beginning. A socket can't be opened again.
-pub fn nonblocking_standard_error() -> Option<File> {
-    let inherited = File::from(std::io::stderr().as_fd().try_clone_to_owned().ok()?);
-    let kind = inherited.metadata().ok()?.file_type();
-    if kind.is_file() {
-        return Some(inherited);
-    }
-    if !(kind.is_fifo() || kind.is_char_device()) {
-        return None;
-    }
-    let flags = OFlag::O_NONBLOCK | OFlag::O_NOCTTY;
-    OpenOptions::new().write(true).custom_flags(flags.bits()).open(STANDARD_ERROR).ok()
-}
-
 /// Writes lines at once, and keeps them once one could not be written.
 struct EarlyOutput<W>(Mutex<EarlyState<W>>);
 
@@ -58,8 +33,8 @@
 }
 
 impl<W> EarlyOutput<W> {
-    fn new(out: Option<W>) -> Self {
-        EarlyOutput(Mutex::new(EarlyState { out, not_written: Vec::new() }))
+    fn new(out: W) -> Self {
+        EarlyOutput(Mutex::new(EarlyState { out: Some(out), not_written: Vec::new() }))
     }
 
     fn take_not_written(&self) -> Vec<String> {
--- a/crates/logging/src/layer.rs
+++ b/crates/logging/src/layer.rs
@@ -2,12 +2,10 @@
 
 use crate::format::{format, EventFields, Format};
 use crate::rate_limit::{Admission, RateLimit, RateLimiter};
-use std::io::Write as _;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 use tracing::callsite::Identifier;
 use tracing::{Event, Metadata, Subscriber};
-use tracing_appender::non_blocking::NonBlocking;
 use tracing_subscriber::layer::{Context, Layer};
 
 /// Where finished lines go. It must not make the thread that logs wait.
@@ -16,13 +14,6 @@
     fn write_line(&self, line: &str);
 }
 
-impl LineOutput for NonBlocking {
-    fn write_line(&self, line: &str) {
-        // A full queue drops the line, and counts it.
-        let _ = self.clone().write_all(line.as_bytes());
-    }
-}
-
 /// Writes lines in one format, limited for each call site.
 pub struct LineWriter<O> {
     format: Format,
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -14,22 +14,29 @@
 mod format;
 mod layer;
 mod levels;
+mod queue;
 mod rate_limit;
+mod standard_error;
 
 pub use format::{Format, MAX_LINE_BYTES};
 pub use levels::{Level, Levels};
 pub use rate_limit::{Admission, RateLimit, RateLimiter};
 
 use layer::{LineLayer, LineOutput, LineWriter};
-use std::io::Write;
+use queue::LineQueue;
+use standard_error::NonblockingStandardError;
+use std::cell::Cell;
+use std::io::{self, Write};
 use std::sync::Arc;
-use tracing_appender::non_blocking::{ErrorCounter, NonBlocking, NonBlockingBuilder, WorkerGuard};
+use std::time::{Duration, Instant};
 use tracing_subscriber::filter::Targets;
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::{reload, Registry};
 
 /// Lines that may wait to be written; further ones are dropped.
 const MAX_QUEUED_LINES: usize = 1024;
+/// The longest wait at the end for lines that are not written yet: standard error may be a pipe that nobody reads.
+const MAX_CLOSE_WAIT: Duration = Duration::from_millis(250);
 
 /// How lines are written.
 #[derive(Clone, Debug)]
@@ -42,12 +49,11 @@
     pub levels: Levels,
 }
 
-/// Controls a running log. Dropping it writes the lines that still wait.
+/// Controls a running log. Dropping it writes the lines that still wait, and takes no more than a quarter of a second.
 pub struct LogHandle {
-    lines: Arc<LineWriter<NonBlocking>>,
+    lines: Arc<LineWriter<LineQueue>>,
     levels: reload::Handle<Targets, Registry>,
-    dropped: ErrorCounter,
-    _writer: WorkerGuard,
+    close_by: Cell<Option<Instant>>,
 }
 
 impl LogHandle {
@@ -62,29 +68,48 @@
         self.lines.report_suppressed();
     }
 
-    /// How many lines were dropped because the queue was full.
+    /// How many lines were dropped because the queue was full, or after the log was closed.
     pub fn dropped(&self) -> usize {
-        self.dropped.dropped_lines()
+        self.lines.output().dropped()
+    }
+
+    /// The end of the log must not wait for lines longer than until this time.
+    pub fn close_by(&self, time: Instant) {
+        self.close_by.set(Some(time));
+    }
+}
+
+impl Drop for LogHandle {
+    fn drop(&mut self) {
+        let left = self.close_by.get().map(|time| time.saturating_duration_since(Instant::now()));
+        self.lines.output().close(left.map_or(MAX_CLOSE_WAIT, |left| left.min(MAX_CLOSE_WAIT)));
     }
 }
 
 /// Why the log can't be started.
 #[derive(Debug, thiserror::Error)]
-#[error("{0}")]
-pub struct StartError(#[from] tracing::subscriber::SetGlobalDefaultError);
+pub enum StartError {
+    /// The thread that writes the lines can't be started.
+    #[error("the log's thread: {0}")]
+    Thread(#[from] io::Error),
+    /// A log was started before.
+    #[error(transparent)]
+    AlreadyStarted(#[from] tracing::subscriber::SetGlobalDefaultError),
+}
 
 /// A log that writes to `out`: a subscriber that is still to be installed, and the handle that controls it.
+///
+/// # Errors
+/// If no thread can be started.
 pub fn build(
     options: &Options,
     out: impl Write + Send + 'static,
-) -> (impl tracing::Subscriber + Send + Sync, LogHandle) {
-    let queue = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(MAX_QUEUED_LINES);
-    let (writer, guard) = queue.thread_name("log").finish(out);
-    let dropped = writer.error_counter();
-    let lines = Arc::new(LineWriter::new(options.format, options.rate_limit, writer));
+) -> io::Result<(impl tracing::Subscriber + Send + Sync, LogHandle)> {
+    let queue = LineQueue::start(MAX_QUEUED_LINES, out)?;
+    let lines = Arc::new(LineWriter::new(options.format, options.rate_limit, queue));
     let (filter, levels) = reload::Layer::new(Targets::from(&options.levels));
     let subscriber = Registry::default().with(filter).with(LineLayer(lines.clone()));
-    (subscriber, LogHandle { lines, levels, dropped, _writer: guard })
+    Ok((subscriber, LogHandle { lines, levels, close_by: Cell::new(None) }))
 }
 
 /// Starts the log of this process on standard error.
@@ -93,10 +118,10 @@
 /// waiting; lines that could not be written so, as to a full pipe, are the first in the queue.
 ///
 /// # Errors
-/// If one was started before.
+/// If one was started before, or no thread can be started.
 pub fn start(options: &Options, first: impl FnOnce()) -> Result<LogHandle, StartError> {
-    let not_written = early::write_lines_of(options, early::nonblocking_standard_error(), first);
-    let (subscriber, handle) = build(options, std::io::stderr());
+    let not_written = early::write_lines_of(options, NonblockingStandardError::default(), first);
+    let (subscriber, handle) = build(options, std::io::stderr())?;
     not_written.iter().for_each(|line| handle.lines.output().write_line(line));
     tracing::subscriber::set_global_default(subscriber)?;
     Ok(handle)
--- a/crates/logging/src/tests.rs
+++ b/crates/logging/src/tests.rs
@@ -24,7 +24,7 @@
 
 fn lines_of(options: &Options, body: impl FnOnce(&LogHandle)) -> Vec<String> {
     let (output, written): (_, Receiver<String>) = channel();
-    let (subscriber, handle) = build(options, Output(output));
+    let (subscriber, handle) = build(options, Output(output)).expect("a thread");
     tracing::subscriber::with_default(subscriber, || body(&handle));
     drop(handle);
     written.into_iter().collect::<String>().lines().map(str::to_owned).collect()
@@ -108,7 +108,8 @@
 fn an_output_that_blocks_delays_nobody_and_dropped_lines_are_counted() {
     let gate = std::sync::Arc::new(Mutex::new(()));
     let held = gate.lock().expect("free");
-    let (subscriber, handle) = build(&options(Format::Plain, 100_000, Level::Info), Blocked(gate.clone()));
+    let (subscriber, handle) =
+        build(&options(Format::Plain, 100_000, Level::Info), Blocked(gate.clone())).expect("a thread");
     let start = std::time::Instant::now();
     tracing::subscriber::with_default(subscriber, || (0..20_000).for_each(|n| tracing::info!("line {n}")));
     assert!(start.elapsed() < Duration::from_secs(5), "it did not wait");
@@ -141,7 +142,7 @@
 fn first_lines_are_written_by_the_calling_thread_and_what_did_not_fit_is_returned_in_order() {
     let (written, lines) = channel();
     let out = FirstLines { written, room: 2 };
-    let not_written = early::write_lines_of(&options(Format::Plain, 9, Level::Info), Some(out), || {
+    let not_written = early::write_lines_of(&options(Format::Plain, 9, Level::Info), out, || {
         (1..=4).for_each(|n| tracing::info!("line {n}"));
         tracing::debug!("not logged at this level");
     });
@@ -150,3 +151,39 @@
     assert_eq!(lines.into_iter().collect::<Vec<_>>(), expected);
     assert_eq!(not_written, ["aniseyoke: line 3\n", "aniseyoke: line 4\n"]);
 }
+
+/// Guards against an end that waits for a log that nobody reads until the process is killed.
+#[test]
+fn an_output_that_blocks_holds_the_end_up_no_longer_than_until_the_time_that_was_set() {
+    for close_by in [None, Some(Duration::from_millis(20)), Some(Duration::from_secs(60))] {
+        let gate = std::sync::Arc::new(Mutex::new(()));
+        let held = gate.lock().expect("free");
+        let (subscriber, handle) =
+            build(&options(Format::Plain, 9, Level::Info), Blocked(gate.clone())).expect("a thread");
+        tracing::subscriber::with_default(subscriber, || tracing::info!("not written"));
+        let start = Instant::now();
+        if let Some(after) = close_by {
+            handle.close_by(start + after);
+        }
+        drop(handle);
+        let bound = close_by.unwrap_or(MAX_CLOSE_WAIT).min(MAX_CLOSE_WAIT);
+        assert!(start.elapsed() >= bound, "{:?} of {bound:?}", start.elapsed());
+        assert!(start.elapsed() < bound + Duration::from_millis(700), "{:?} of {bound:?}", start.elapsed());
+        drop(held);
+    }
+}
+
+/// Guards against lines that are lost at the end of a log whose thread is behind.
+#[test]
+fn all_lines_in_the_queue_are_written_before_the_end_and_none_after_it() {
+    let (output, written) = channel();
+    let queue = LineQueue::start(MAX_QUEUED_LINES, Output(output)).expect("a thread");
+    for n in 0..MAX_QUEUED_LINES {
+        queue.write_line(&format!("line {n}\n"));
+    }
+    queue.close(Duration::from_secs(30));
+    queue.write_line("too late\n");
+    assert_eq!(queue.dropped(), 1);
+    let expected: Vec<String> = (0..MAX_QUEUED_LINES).map(|n| format!("line {n}\n")).collect();
+    assert_eq!(written.try_iter().collect::<Vec<_>>(), expected);
+}
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -131,7 +131,8 @@
     pub reload: Box<dyn Fn()>,
 }
 
-/// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`.
+/// Serves until `stop`, then drains; follows another discovery when the file names one at a `hangup`. Returns by when the
+/// process has to have ended.
 ///
 /// # Errors
 /// If the proxy can't start to serve.
@@ -140,7 +141,7 @@
     options: FrontOptions,
     stop: impl Future<Output = ()>,
     hangup: Signal,
-) -> Result<(), StartError> {
+) -> Result<Instant, StartError> {
     let FrontOptions { engine: engine_options, admin: admin_options, hooks, mut start_timer } = options;
     let ClientListener { listener, addr, handed_over } = ClientListener::open(config.listen).await?;
     tracing::info!("{} on {addr}", if handed_over { "handover: listening" } else { "listening" });
@@ -186,8 +187,7 @@
             server.accept_all(&listener).await
         } => match never {},
     }
-    server.shut_down(listener, handed_over).await;
-    Ok(())
+    Ok(server.shut_down(listener, handed_over).await)
 }
 
 async fn open_admin_endpoint(addr: SocketAddr, control: &Rc<Control>) -> Result<(), StartError> {
--- a/crates/proxy/src/front/shutdown.rs
+++ b/crates/proxy/src/front/shutdown.rs
@@ -15,6 +15,8 @@
 const MAX_ACCEPT: Duration = Duration::from_millis(600);
 /// A proxy may be killed so long after the longest deadline after SIGTERM; it ends a little sooner.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
+/// The log has so long, after the last client was given up, to write its last lines before the process may be killed.
+const LOG_MARGIN: Duration = Duration::from_millis(50);
 /// What comes after SIGTERM is answered so long after the longest deadline at the latest: a process that is held up for 0.15 s
 /// before it writes is still in time.
 const ANSWER_MARGIN: Duration = Duration::from_millis(500);
@@ -24,7 +26,8 @@
 impl Server {
     /// Answers what comes and has clients close their connections, closes idle ones, and waits for the rest.
     /// From a socket that was handed over nothing more is accepted: what waits there is for the successor.
-    pub(super) async fn shut_down(self: &Rc<Self>, listener: TcpListener, handed_over: bool) {
+    /// Returns by when the process has to have ended.
+    pub(super) async fn shut_down(self: &Rc<Self>, listener: TcpListener, handed_over: bool) -> Instant {
         tracing::info!("draining");
         self.drain.begin_shutdown();
         let start = Instant::now();
@@ -43,14 +46,16 @@
         }
         drop(listener);
         let end = start + longest + EXIT_MARGIN;
+        let exit_by = end + LOG_MARGIN;
         while !self.clients.borrow().is_empty() {
             tokio::select! {
                 () = self.client_closed.notified() => {}
                 () = sleep_until(end) => {
                     tracing::warn!("ended with clients still connected");
-                    return;
+                    break;
                 }
             }
         }
+        exit_by
     }
 }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -60,8 +60,10 @@
     let start_config = StartConfig::load(file.as_deref(), control, &mut start_timer)?;
     let stop = signals::stop()?;
     log.set_levels(&operator::log_levels(&start_config.resolved.operator.log));
-    let (config, options) = front_options(start_config, file, log, start_timer);
-    Ok(front::run(config, options, stop, hangup).await?)
+    let (config, options) = front_options(start_config, file, log.clone(), start_timer);
+    let exit_by = front::run(config, options, stop, hangup).await?;
+    log.close_by(exit_by.into_std());
+    Ok(())
 }
 
 fn start_log(
