Say why a start fails without waiting for who reads it, and without a panic

What callers saw: a start that fails (its address is taken) never ended where standard error was a full pipe, and ended with status 101 in place of 1 where its reader had gone. Cause: serve::run printed with eprintln!, which waits, and panics where the write fails. Evidence: two tests of unread_log.rs, red before. Change: aniseyoke_logging::print_lines writes to a pipe or terminal that was opened once more with O_NONBLOCK, as the first lines are; a socket, which can't be opened again, is written as before, without the panic. A socket that nobody reads may still hold such a start up.

--- a/crates/logging/src/standard_error.rs
+++ b/crates/logging/src/standard_error.rs
@@ -9,6 +9,17 @@
 /// The file of standard error, from which another description of it is opened.
 const STANDARD_ERROR: &str = "/proc/self/fd/2";
 
+/// Prints lines on standard error, such as why the program can't go on. A pipe or terminal that takes no more gets no
+/// more, and a reader that has gone is no error.
+pub fn print_lines(lines: impl IntoIterator<Item = String>) {
+    let mut out =
+        open_nonblocking().map_or_else(|| Box::new(io::stderr()) as Box<dyn Write>, |file| Box::new(file));
+    for line in lines {
+        // There is nobody to tell it to.
+        let _ = out.write_all(format!("{line}\n").as_bytes());
+    }
+}
+
 /// Standard error, opened at the first write, which fails where it would have to wait.
 #[derive(Default)]
 pub struct NonblockingStandardError(Option<Option<File>>);
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -32,7 +32,7 @@
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             // The log may not have been started.
-            error.lines().iter().for_each(|line| eprintln!("aniseyoke: {line}"));
+            aniseyoke_logging::print_lines(error.lines().iter().map(|line| format!("aniseyoke: {line}")));
             ExitCode::FAILURE
         }
     }
