Hold up the calls of the serving thread by its program's name, and only calls that are made

Change: the serving thread's name is that of the program's file; the calls in turn are those that a counted start and end makes. A test guards the name.

--- a/crates/lab-starts/src/plan.rs
+++ b/crates/lab-starts/src/plan.rs
@@ -10,8 +10,8 @@
 pub(crate) const RULE: &str = "hold";
 /// The name of the rule that tells that a plan is in force.
 pub(crate) const IN_FORCE_RULE: &str = "in-force";
-/// Calls of a kind that are held up in turn, from the first on.
-const MAX_NTH: u64 = 24;
+/// Characters of a thread's name at most.
+const MAX_THREAD_NAME: usize = 15;
 /// How long a call is held up, in milliseconds; one of these is drawn.
 const HOLDS_MS: [u64; 6] = [1, 5, 20, 60, 200, 500];
 /// The longest deadline of the classes, in milliseconds; one of these is drawn.
@@ -29,36 +29,34 @@
 /// SIGHUP comes so many times at most.
 const MAX_HANGUPS: u64 = 6;
 
-/// The calls that are held up in turn.
-pub const HELD_CALLS: [Call; 13] = [
-    Call::Futex,
-    Call::SchedYield,
-    Call::SignalMask,
-    Call::Write,
-    Call::Writev,
-    Call::Read,
-    Call::Recv,
-    Call::Open,
-    Call::EpollWait,
-    Call::Socket,
-    Call::Connect,
-    Call::ClockGettime,
-    Call::WallClock,
-];
-
 /// Whose calls are held up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum HeldThread {
-    /// Those of any thread.
-    Any,
     /// Those of the serving thread.
     Serving,
     /// Those of the thread that writes the log.
     Log,
 }
 
-/// The threads whose calls are held up in turn.
-const HELD_THREADS: [HeldThread; 3] = [HeldThread::Any, HeldThread::Serving, HeldThread::Log];
+/// The calls that are held up in turn, and how many of each, from the first on: about as many as a proxy makes until it listens, or
+/// from SIGTERM on.
+pub const HELD_CALLS: [(HeldThread, Call, u64); 15] = [
+    (HeldThread::Log, Call::Write, 3),
+    (HeldThread::Log, Call::SchedYield, 8),
+    (HeldThread::Log, Call::Futex, 4),
+    (HeldThread::Serving, Call::Futex, 6),
+    (HeldThread::Serving, Call::SignalMask, 4),
+    (HeldThread::Serving, Call::Socket, 2),
+    (HeldThread::Serving, Call::Connect, 2),
+    (HeldThread::Serving, Call::Read, 4),
+    (HeldThread::Serving, Call::Recv, 3),
+    (HeldThread::Serving, Call::Send, 2),
+    (HeldThread::Serving, Call::WallClock, 3),
+    (HeldThread::Serving, Call::Open, 12),
+    (HeldThread::Serving, Call::Write, 12),
+    (HeldThread::Serving, Call::EpollWait, 16),
+    (HeldThread::Serving, Call::ClockGettime, 24),
+];
 
 /// When the count of calls begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
@@ -134,16 +132,8 @@
     pub fn draw(seed: u64, number: u64) -> Self {
         let mut random =
             Xoshiro256PlusPlus::seed_from_u64(aniseyoke_lab_day::clock::mix(seed, 0x57a7, number));
-        let mut turn = number;
-        let mut next = |choices: usize| {
-            let choice = turn % choices as u64;
-            turn /= choices as u64;
-            choice
-        };
-        let phase = if next(2) == 0 { Phase::Start } else { Phase::End };
-        let call = HELD_CALLS[next(HELD_CALLS.len()) as usize];
-        let thread = HELD_THREADS[next(HELD_THREADS.len()) as usize];
-        let nth = 1 + next(MAX_NTH as usize);
+        let phase = if number.is_multiple_of(2) { Phase::Start } else { Phase::End };
+        let (thread, call, nth) = held_call(number / 2);
         let hold_ms = HOLDS_MS[random.random_range(0..HOLDS_MS.len())];
         let hold = Hold { thread, call, nth, phase, hold_ms, after: random.random() };
         let reader = match random.random_range(0..10) {
@@ -170,26 +160,40 @@
     }
 }
 
+/// The call whose turn it is, and which one of its kind.
+fn held_call(turn: u64) -> (HeldThread, Call, u64) {
+    let count: u64 = HELD_CALLS.iter().map(|(_, _, most)| most).sum();
+    let mut left = turn % count;
+    for (thread, call, most) in HELD_CALLS {
+        if left < most {
+            return (thread, call, left + 1);
+        }
+        left -= most;
+    }
+    unreachable!("a turn is below the count of all")
+}
+
 impl Hold {
-    /// The plan of the preload library for a phase. Its first rule delays nothing, and tells that the plan is in force.
-    pub fn plan(&self, phase: Phase) -> Plan {
+    /// The plan of the preload library for a phase, for a program of this name. Its first rule delays nothing, and tells that the plan is in force.
+    pub fn plan(&self, phase: Phase, program: &str) -> Plan {
         let in_force =
             Rule::new(IN_FORCE_RULE, &[Call::ClockGettime, Call::EpollWait], Effect::DelayBefore(0));
         let mut rules = vec![in_force.often(Often::First(1))];
         if phase == self.phase {
-            rules.push(self.rule());
+            rules.push(self.rule(program));
         }
         Plan::new(0, &rules)
     }
 
-    fn rule(&self) -> Rule {
+    fn rule(&self, program: &str) -> Rule {
         let micros = self.hold_ms * 1000;
         let effect = if self.after { Effect::DelayAfter(micros) } else { Effect::DelayBefore(micros) };
-        let about = match self.thread {
-            HeldThread::Any => About::Any,
-            HeldThread::Serving => About::Thread("aniseyoke".to_owned()),
-            HeldThread::Log => About::Thread("log".to_owned()),
+        let thread = match self.thread {
+            // The first thread of a process has the program's name, as far as it goes.
+            HeldThread::Serving => program.chars().take(MAX_THREAD_NAME).collect(),
+            HeldThread::Log => "log".to_owned(),
         };
+        let about = About::Thread(thread);
         Rule::new(RULE, &[self.call], effect).about(about).often(Often::Only(self.nth))
     }
 }
--- a/crates/lab-starts/src/run.rs
+++ b/crates/lab-starts/src/run.rs
@@ -41,6 +41,13 @@
     pub hold_calls: bool,
 }
 
+impl Subject {
+    /// The name of the program's file.
+    fn name(&self) -> String {
+        self.program.file_name().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default()
+    }
+}
+
 /// Plays a start; `folder` is its own.
 ///
 /// # Errors
@@ -63,6 +70,7 @@
 
 /// A process that was started.
 struct Start {
+    name: String,
     child: Child,
     started: Instant,
     pipe: LogPipe,
@@ -78,14 +86,16 @@
         let mut command = command(&plan, subject, folder)?;
         command.stdin(Stdio::null()).stdout(Stdio::null());
         command.stderr(standard_error.map_or_else(Stdio::null, Stdio::from));
-        let armed = subject.hold_calls.then(|| arm(&mut command, folder, &plan.hold.plan(Phase::Start)));
+        let armed = subject
+            .hold_calls
+            .then(|| arm(&mut command, folder, &plan.hold.plan(Phase::Start, &subject.name())));
         let armed = armed.transpose().map_err(StartsError::Arm)?;
         kill_with_parent(&mut command);
         let started = Instant::now();
         let child = command.spawn().map_err(StartsError::Process)?;
         let watch = ThreadWatch::new(child.id());
         let report = StartReport::new(plan);
-        Ok(Start { child, started, pipe, armed, watch, looked: started, report })
+        Ok(Start { name: subject.name(), child, started, pipe, armed, watch, looked: started, report })
     }
 
     /// Plays the plan; how the process ended, if it did by itself.
@@ -111,7 +121,7 @@
     fn begin_end_phase(&mut self) -> Result<bool, StartsError> {
         let Some(armed) = self.armed.clone() else { return Ok(true) };
         let before = armed.forced(IN_FORCE_RULE);
-        armed.change(&self.report.plan.hold.plan(Phase::End)).map_err(StartsError::Plan)?;
+        armed.change(&self.report.plan.hold.plan(Phase::End, &self.name)).map_err(StartsError::Plan)?;
         let until = Instant::now() + IN_FORCE_WITHIN;
         while armed.forced(IN_FORCE_RULE) == before {
             if Instant::now() > until {
--- a/crates/lab-starts/src/tests.rs
+++ b/crates/lab-starts/src/tests.rs
@@ -1,33 +1,43 @@
-use crate::plan::{Phase, Reader, StartPlan, Terminate, HELD_CALLS, RULE};
+use crate::plan::{HeldThread, Phase, Reader, StartPlan, Terminate, HELD_CALLS, RULE};
 use crate::threads::Spent;
 use crate::verdict::{allowed_end, End, Fault, StartReport};
+use aniseyoke_faults::About;
 use std::collections::HashSet;
 use std::os::unix::process::ExitStatusExt;
 use std::process::ExitStatus;
 use std::time::Duration;
 
-/// One after the other of all calls, threads and phases.
-const ALL_KINDS: u64 = 2 * HELD_CALLS.len() as u64 * 3;
-
 #[test]
-fn a_start_is_drawn_again_the_same_and_each_kind_of_call_has_its_turn() {
+fn a_start_is_drawn_again_the_same_and_each_call_has_its_turn() {
     let text = |seed, number| format!("{:?}", StartPlan::draw(seed, number));
     assert_eq!(text(7, 123), text(7, 123));
     assert_ne!(text(7, 123), text(8, 123));
-    let holds = (0..ALL_KINDS).map(|number| StartPlan::draw(7, number).hold);
+    let calls: u64 = HELD_CALLS.iter().map(|(_, _, most)| most).sum();
+    let all = 2 * calls;
+    let holds = (0..all).map(|number| StartPlan::draw(7, number).hold);
     let kinds: HashSet<String> =
-        holds.map(|h| format!("{:?} {:?} {:?}", h.thread, h.call, h.phase)).collect();
-    assert_eq!(kinds.len() as u64, ALL_KINDS);
-    assert_eq!(StartPlan::draw(7, ALL_KINDS).hold.nth, 2);
+        holds.map(|h| format!("{:?} {:?} {} {:?}", h.thread, h.call, h.nth, h.phase)).collect();
+    assert_eq!(kinds.len() as u64, all);
+    let (first, again) = (StartPlan::draw(7, 0).hold, StartPlan::draw(7, all).hold);
+    assert_eq!((first.call, first.nth, first.phase), (again.call, again.nth, again.phase));
 }
 
 #[test]
 fn a_call_is_held_up_in_its_phase_alone() {
     let hold = StartPlan::draw(7, 0).hold;
-    let held = |phase| hold.plan(phase).rules.iter().filter(|rule| rule.name == RULE).count();
+    let held = |phase| hold.plan(phase, "a").rules.iter().filter(|rule| rule.name == RULE).count();
     assert_eq!((hold.phase, held(Phase::Start), held(Phase::End)), (Phase::Start, 1, 0));
 }
 
+/// Guards against a rule that strikes nothing, where the program's file has another name.
+#[test]
+fn the_serving_thread_is_the_one_with_the_name_of_the_program() {
+    let hold = (0..).map(|number| StartPlan::draw(7, number).hold).find(|h| h.thread == HeldThread::Serving);
+    let hold = hold.expect("one");
+    let about = hold.plan(hold.phase, "a-program-with-a-long-name").rules.pop().map(|rule| rule.about);
+    assert_eq!(about, Some(About::Thread("a-program-with-".into())));
+}
+
 fn spent(ran_ms: u64, waited_ms: u64) -> Spent {
     let [elapsed, ran, waited] = [1000, ran_ms, waited_ms].map(Duration::from_millis);
     Spent { thread: "log".into(), elapsed, ran, waited }
