--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -37,7 +37,7 @@
 /// Lines that may wait to be written; further ones are dropped.
 const MAX_QUEUED_LINES: usize = 1024;
 /// The longest wait at the end for lines that are not written yet: standard error may be a pipe that nobody reads.
-const MAX_CLOSE_WAIT: Duration = Duration::from_millis(250);
+const MAX_CLOSE_WAIT: Duration = Duration::from_secs(1);
 
 /// How lines are written.
 #[derive(Clone, Debug)]
@@ -50,7 +50,7 @@
     pub levels: Levels,
 }
 
-/// Controls a running log. Dropping it writes the lines that still wait, and takes no more than a quarter of a second.
+/// Controls a running log. Dropping it writes the lines that still wait, and takes no more than a second.
 pub struct LogHandle {
     lines: Arc<LineWriter<LineQueue>>,
     levels: reload::Handle<Targets, Registry>,
