Give a failed start's reason to a slow reader, and none to a socket that nobody reads

Cause: lines were written once, without waiting at all; a socket was written as it is. Change: up to a second for all lines together, by poll; sockets are written with MSG_DONTWAIT. The writer's states have names.

--- a/crates/logging/src/standard_error.rs
+++ b/crates/logging/src/standard_error.rs
@@ -1,34 +1,52 @@
-//! Standard error, written without waiting for who reads it.
+//! Standard error, written without waiting without a bound for who reads it.
 
 use nix::fcntl::OFlag;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
+use socket2::Socket;
 use std::fs::{File, OpenOptions};
 use std::io::{self, ErrorKind, Write};
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
 use std::os::unix::fs::{FileTypeExt, OpenOptionsExt};
+use std::time::{Duration, Instant};
 
 /// The file of standard error, from which another description of it is opened.
 const STANDARD_ERROR: &str = "/proc/self/fd/2";
+/// The longest wait for a reader, over all lines that are printed together.
+const MAX_PRINT_WAIT: Duration = Duration::from_secs(1);
 
-/// Prints lines on standard error, such as why the program can't go on. A pipe or terminal that takes no more gets no
-/// more, and a reader that has gone is no error.
+/// Prints lines on standard error, such as why the program can't go on. Who reads slowly gets them all; for who reads
+/// nothing they wait no longer than a second. A reader that has gone is no error.
+///
+/// Where standard error can't be opened again, as a pipe of another user, it is written as it is and may wait.
 pub fn print_lines(lines: impl IntoIterator<Item = String>) {
-    let mut out =
-        open_nonblocking().map_or_else(|| Box::new(io::stderr()) as Box<dyn Write>, |file| Box::new(file));
-    for line in lines {
-        // There is nobody to tell it to.
-        let _ = out.write_all(format!("{line}\n").as_bytes());
-    }
+    let text: String = lines.into_iter().map(|line| line + "\n").collect();
+    // There is nobody to tell an error to.
+    let _ = match NonblockingOutput::open() {
+        Some(output) => output.write_all_within(text.as_bytes(), MAX_PRINT_WAIT),
+        None => io::stderr().write_all(text.as_bytes()),
+    };
 }
 
 /// Standard error, opened at the first write, which fails where it would have to wait.
 #[derive(Default)]
-pub struct NonblockingStandardError(Option<Option<File>>);
+pub enum NonblockingStandardError {
+    /// Nothing was written yet.
+    #[default]
+    NotOpened,
+    /// It takes lines.
+    Open(NonblockingOutput),
+    /// It can't be written without waiting.
+    Unavailable,
+}
 
 impl Write for NonblockingStandardError {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        match self.0.get_or_insert_with(open_nonblocking) {
-            Some(file) => file.write(bytes),
-            None => Err(ErrorKind::WouldBlock.into()),
+        if let Self::NotOpened = self {
+            *self = NonblockingOutput::open().map_or(Self::Unavailable, Self::Open);
+        }
+        match self {
+            Self::Open(output) => output.write(bytes),
+            _ => Err(ErrorKind::WouldBlock.into()),
         }
     }
 
@@ -37,20 +55,79 @@
     }
 }
 
-/// Standard error as a file to which a write never waits; none where that can't be had.
-///
-/// A pipe or a terminal may have nobody who reads it. It is opened once more, because the flag against waiting belongs to
-/// the open file description, which other processes share. A regular file waits for nobody and is used as it is: opened
-/// once more it would be written from its beginning. A socket can't be opened again.
-fn open_nonblocking() -> Option<File> {
-    let inherited = File::from(io::stderr().as_fd().try_clone_to_owned().ok()?);
-    let kind = inherited.metadata().ok()?.file_type();
-    if kind.is_file() {
-        return Some(inherited);
+/// What standard error is, such that a write to it never waits.
+pub enum NonblockingOutput {
+    /// A regular file, which waits for nobody, or a pipe or terminal that was opened once more.
+    File(File),
+    /// A socket.
+    Socket(Socket),
+}
+
+impl NonblockingOutput {
+    /// None where a write to standard error may have to wait.
+    ///
+    /// A pipe or a terminal may have nobody who reads it. It is opened once more, because the flag against waiting belongs
+    /// to the open file description, which other processes share. A regular file is used as it is: opened once more it
+    /// would be written from its beginning. A socket has a flag for each call.
+    fn open() -> Option<Self> {
+        let inherited = File::from(io::stderr().as_fd().try_clone_to_owned().ok()?);
+        let kind = inherited.metadata().ok()?.file_type();
+        if kind.is_file() {
+            return Some(Self::File(inherited));
+        }
+        if kind.is_socket() {
+            return Some(Self::Socket(Socket::from(OwnedFd::from(inherited))));
+        }
+        if !(kind.is_fifo() || kind.is_char_device()) {
+            return None;
+        }
+        let flags = OFlag::O_NONBLOCK | OFlag::O_NOCTTY;
+        let again = OpenOptions::new().write(true).custom_flags(flags.bits()).open(STANDARD_ERROR);
+        again.ok().map(Self::File)
+    }
+
+    fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        match self {
+            Self::File(file) => (&*file).write(bytes),
+            Self::Socket(socket) => socket.send_with_flags(bytes, libc::MSG_DONTWAIT | libc::MSG_NOSIGNAL),
+        }
+    }
+
+    /// Writes everything, and waits no longer than this for who reads it.
+    fn write_all_within(&self, mut bytes: &[u8], timeout: Duration) -> io::Result<()> {
+        let give_up_at = Instant::now() + timeout;
+        while !bytes.is_empty() {
+            match self.write(bytes) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(written) => bytes = &bytes[written..],
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.wait_until_writable(give_up_at)?;
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
+    fn wait_until_writable(&self, give_up_at: Instant) -> io::Result<()> {
+        let left = give_up_at.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        let timeout = PollTimeout::try_from(left + Duration::from_millis(1)).unwrap_or(PollTimeout::MAX);
+        match poll(&mut [PollFd::new(self.as_fd(), PollFlags::POLLOUT)], timeout) {
+            Ok(_) | Err(nix::errno::Errno::EINTR) => Ok(()),
+            Err(error) => Err(error.into()),
+        }
     }
-    if !(kind.is_fifo() || kind.is_char_device()) {
-        return None;
+}
+
+impl AsFd for NonblockingOutput {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        match self {
+            Self::File(file) => file.as_fd(),
+            Self::Socket(socket) => socket.as_fd(),
+        }
     }
-    let flags = OFlag::O_NONBLOCK | OFlag::O_NOCTTY;
-    OpenOptions::new().write(true).custom_flags(flags.bits()).open(STANDARD_ERROR).ok()
 }
--- a/crates/proxy/tests/unread_log.rs
+++ b/crates/proxy/tests/unread_log.rs
@@ -5,8 +5,10 @@
 use nix::fcntl::{fcntl, FcntlArg, OFlag};
 use rig::*;
 use serde_json::{json, Value};
-use std::io::{BufRead, BufReader, ErrorKind, PipeReader, PipeWriter, Write};
+use std::io::{BufRead, BufReader, ErrorKind, PipeReader, PipeWriter, Read, Write};
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixStream;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
@@ -120,8 +122,8 @@
     assert_eq!(status.and_then(|status| status.code()), Some(0), "ended at all");
 }
 
-/// A start that fails: its address is taken.
-fn failed_start(error: PipeWriter) {
+/// A start that fails, since its address is taken: its exit code, if it ends.
+fn failed_start(error: impl Into<Stdio>) -> Option<i32> {
     let taken = TcpListener::bind("127.0.0.1:0").expect("bound");
     let mut config = short_config();
     config["listen"] = json!(taken.local_addr().expect("an address").to_string());
@@ -133,7 +135,7 @@
         let _ = child.kill();
         let _ = child.wait();
     }
-    assert_eq!(status.and_then(|status| status.code()), Some(1), "{status:?}");
+    status.and_then(|status| status.code())
 }
 
 /// Guards against a start that fails and stays for ever, since it can't say why.
@@ -141,7 +143,7 @@
 fn a_start_that_fails_ends_though_its_log_is_not_read() {
     let (_reader, mut writer) = std::io::pipe().expect("a pipe");
     fill(&mut writer);
-    failed_start(writer);
+    assert_eq!(failed_start(writer), Some(1));
 }
 
 /// Guards against a start that fails and panics, since it can't say why.
@@ -149,5 +151,37 @@
 fn a_start_that_fails_ends_with_its_status_though_the_reader_of_its_log_has_gone() {
     let (reader, writer) = std::io::pipe().expect("a pipe");
     drop(reader);
-    failed_start(writer);
+    assert_eq!(failed_start(writer), Some(1));
+}
+
+/// Guards against the same where standard error is a socket, as a service manager gives it.
+#[test]
+fn a_start_that_fails_ends_though_its_log_is_a_socket_that_is_not_read() {
+    let (_reader, mut writer) = UnixStream::pair().expect("a pair");
+    writer.set_nonblocking(true).expect("set");
+    let full = loop {
+        if let Err(error) = writer.write(b"\n") {
+            break error;
+        }
+    };
+    assert_eq!(full.kind(), ErrorKind::WouldBlock);
+    writer.set_nonblocking(false).expect("set");
+    assert_eq!(failed_start(OwnedFd::from(writer)), Some(1));
+}
+
+/// Guards against a reason that is lost, since the log's reader is slow.
+#[test]
+fn a_start_that_fails_says_why_to_a_reader_that_begins_late() {
+    const LATE: Duration = Duration::from_millis(100);
+    let (mut reader, mut writer) = std::io::pipe().expect("a pipe");
+    fill(&mut writer);
+    let text = std::thread::spawn(move || {
+        std::thread::sleep(LATE);
+        let mut text = String::new();
+        reader.read_to_string(&mut text).expect("text");
+        text
+    });
+    assert_eq!(failed_start(writer), Some(1));
+    let text = text.join().expect("read");
+    assert!(text.trim_start().starts_with("aniseyoke: PROXY_LISTEN: "), "{:?}", text.trim_start());
 }
