Reset what a node of the laboratory accepted just before it fell

Cause: the laboratory's. The task of a connection read at its first poll in which epoch of its node it was opened. A node that fell between the accept and that poll was taken for one that had fallen before: the connection was never reset, and the modelled node, which is down, answers nothing. What the node had accepted has to be reset with it; so its peers waited until their clients gave up.

Change: the epoch is read when the connection is accepted. Discovery's connections follow a state and not a count, and have no such window.

Measured: the new test forces the order, red before (20 s without a reset).

--- a/crates/lab-site/src/node.rs
+++ b/crates/lab-site/src/node.rs
@@ -6,6 +6,7 @@
 use aniseyoke_lab_audit::Observation;
 use aniseyoke_lab_world::{Attempt, AttemptId, Delivery, Process, Reply};
 use std::cell::Cell;
+use std::future::Future;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,30 +61,40 @@
 }
 
 /// Serves one connection until its peer or its member's process ends it.
-async fn connection(state: Rc<SiteState>, member: usize, stream: TcpStream, member_handle: Rc<MemberHandle>) {
+///
+/// The epochs are read by the call and not when the future is first polled: the process may have fallen in between, and
+/// what it had accepted is reset with it.
+fn connection(
+    state: Rc<SiteState>,
+    member: usize,
+    stream: TcpStream,
+    member_handle: Rc<MemberHandle>,
+) -> impl Future<Output = ()> {
     let mut epochs = member_handle.epochs.subscribe();
     let opened_in = *epochs.borrow_and_update();
-    let mut http = HttpConnection::new(stream);
-    let attempt_id = Cell::new(None);
-    let origin = state.world.borrow().is_origin(member);
-    let taken = state.connection_load.borrow_mut().opened(state.clock.now(), member, origin);
-    let reset = tokio::select! {
-        biased;
-        () = wait_for_reset(&mut epochs, opened_in) => true,
-        ended = async {
-            match taken {
-                true => serve(&state, member, &mut http, &member_handle, opened_in, &attempt_id).await,
-                false => reject_connection(&state, member, &mut http).await,
-            }
-        } => ended.is_err(),
-    };
-    if let Some(attempt_id) = attempt_id.take() {
-        state.connection_load.borrow_mut().in_flight(member, origin, false);
-        state.cancel(attempt_id);
-    }
-    state.connection_load.borrow_mut().closed(member);
-    if reset {
-        http.reset();
+    async move {
+        let mut http = HttpConnection::new(stream);
+        let attempt_id = Cell::new(None);
+        let origin = state.world.borrow().is_origin(member);
+        let taken = state.connection_load.borrow_mut().opened(state.clock.now(), member, origin);
+        let reset = tokio::select! {
+            biased;
+            () = wait_for_reset(&mut epochs, opened_in) => true,
+            ended = async {
+                match taken {
+                    true => serve(&state, member, &mut http, &member_handle, opened_in, &attempt_id).await,
+                    false => reject_connection(&state, member, &mut http).await,
+                }
+            } => ended.is_err(),
+        };
+        if let Some(attempt_id) = attempt_id.take() {
+            state.connection_load.borrow_mut().in_flight(member, origin, false);
+            state.cancel(attempt_id);
+        }
+        state.connection_load.borrow_mut().closed(member);
+        if reset {
+            http.reset();
+        }
     }
 }
 
@@ -295,3 +306,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
