Bound what a panic or a wrong command line waits for who reads standard error

Cause: clap, print_result and the standard panic hook write without a limit on the wait, the hook under the lock of standard error.

Change: all three print through standard_error.rs: a second at most for a command that ends anyhow, 20 ms for a panic, past the log, whose lock what panicked may hold. Statuses are as before, 2 and 1.

--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -21,7 +21,7 @@
 pub use format::{Format, MAX_LINE_BYTES};
 pub use levels::{Level, Levels};
 pub use rate_limit::{Admission, RateLimit, RateLimiter};
-pub use standard_error::print_lines;
+pub use standard_error::{print_lines, print_panics};
 
 use layer::{LineLayer, LineOutput, LineWriter};
 use queue::LineQueue;
--- a/crates/logging/src/standard_error.rs
+++ b/crates/logging/src/standard_error.rs
@@ -3,6 +3,7 @@
 use nix::fcntl::OFlag;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use socket2::Socket;
+use std::backtrace::{Backtrace, BacktraceStatus};
 use std::fs::{File, OpenOptions};
 use std::io::{self, ErrorKind, Write};
 use std::os::fd::{AsFd, BorrowedFd, OwnedFd};
@@ -13,6 +14,8 @@
 const STANDARD_ERROR: &str = "/proc/self/fd/2";
 /// The longest wait for a reader, over all lines that are printed together.
 const MAX_PRINT_WAIT: Duration = Duration::from_secs(1);
+/// The longest wait for a reader of a panic: the thread may go on serving after it.
+const MAX_PANIC_WAIT: Duration = Duration::from_millis(20);
 
 /// Prints lines on standard error, such as why the program can't go on. Who reads slowly gets them all; for who reads
 /// nothing they wait no longer than a second. A reader that has gone is no error.
@@ -20,9 +23,29 @@
 /// Where standard error can't be opened again, as a pipe of another user, it is written as it is and may wait.
 pub fn print_lines(lines: impl IntoIterator<Item = String>) {
     let text: String = lines.into_iter().map(|line| line + "\n").collect();
+    print_within(&text, MAX_PRINT_WAIT);
+}
+
+/// Has panics told on standard error like by default, but for a reader that reads nothing a panic waits for milliseconds
+/// only. The lines do not go through the log: what panicked may hold its lock.
+pub fn print_panics() {
+    std::panic::set_hook(Box::new(|panic| {
+        let thread = std::thread::current();
+        let name = thread.name().unwrap_or("<unnamed>");
+        let backtrace = Backtrace::capture();
+        let trace = if backtrace.status() == BacktraceStatus::Captured {
+            format!("{backtrace}\n")
+        } else {
+            String::new()
+        };
+        print_within(&format!("aniseyoke: thread '{name}' {panic}\n{trace}"), MAX_PANIC_WAIT);
+    }));
+}
+
+fn print_within(text: &str, timeout: Duration) {
     // There is nobody to tell an error to.
     let _ = match NonblockingOutput::open() {
-        Some(output) => output.write_all_within(text.as_bytes(), MAX_PRINT_WAIT),
+        Some(output) => output.write_all_within(text.as_bytes(), timeout),
         None => io::stderr().write_all(text.as_bytes()),
     };
 }
--- a/crates/proxy/src/cli/mod.rs
+++ b/crates/proxy/src/cli/mod.rs
@@ -6,9 +6,13 @@
 use crate::operator;
 use aniseyoke_config::ConfigError;
 use clap::{Args, CommandFactory, Parser, Subcommand, ValueEnum};
+use std::io::IsTerminal;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// The status of a process whose command line was wrong, as clap has it.
+const USAGE_ERROR: u8 = 2;
+
 /// A caching proxy between clients and a fleet of cache nodes.
 #[derive(Parser)]
 #[command(name = "aniseyoke", version, about, args_conflicts_with_subcommands = true)]
@@ -55,7 +59,11 @@
 
 /// Does what the command line says.
 pub fn run() -> ExitCode {
-    let cli = Cli::parse();
+    aniseyoke_logging::print_panics();
+    let cli = match Cli::try_parse() {
+        Ok(cli) => cli,
+        Err(told) => return print_usage(&told),
+    };
     match cli.command {
         None => crate::serve::run(cli.serve.file),
         Some(Command::Serve(serve)) => crate::serve::run(serve.file.or(cli.serve.file)),
@@ -76,6 +84,19 @@
     Ok(String::from_utf8_lossy(&text).into_owned())
 }
 
+/// Prints the help or version that was asked for, or what is wrong with the command line.
+fn print_usage(told: &clap::Error) -> ExitCode {
+    if !told.use_stderr() {
+        // A reader that has gone has seen enough.
+        let _ = told.print();
+        return ExitCode::SUCCESS;
+    }
+    let styled = told.render();
+    let text = if std::io::stderr().is_terminal() { styled.ansi().to_string() } else { styled.to_string() };
+    aniseyoke_logging::print_lines(text.lines().map(str::to_owned));
+    ExitCode::from(USAGE_ERROR)
+}
+
 /// Prints an answer, or what is wrong, a line each.
 fn print_result(answer: Result<String, Vec<String>>) -> ExitCode {
     use std::io::Write as _;
@@ -85,8 +106,7 @@
             ExitCode::SUCCESS
         }
         Err(faults) => {
-            let mut out = std::io::stderr().lock();
-            faults.iter().for_each(|fault| _ = writeln!(out, "aniseyoke: {fault}"));
+            aniseyoke_logging::print_lines(faults.iter().map(|fault| format!("aniseyoke: {fault}")));
             ExitCode::FAILURE
         }
     }
--- a/crates/proxy/tests/unread_log.rs
+++ b/crates/proxy/tests/unread_log.rs
@@ -16,6 +16,8 @@
 const DEADLINE: Duration = Duration::from_millis(200);
 /// A process may be killed this long after SIGTERM and the longest deadline.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// A command that waits for nobody ends within this time on the busiest machine.
+const SOON: Duration = Duration::from_secs(20);
 /// More lines than may wait to be written.
 const LINES: usize = 1100;
 /// Each connection of a client is worth a line or more.
@@ -146,6 +148,22 @@
     assert_eq!(failed_start(writer), Some(1));
 }
 
+/// Guards against a command that stays for ever, since it can't say what is wrong with its command line or its file.
+#[test]
+fn a_wrong_command_ends_with_its_status_though_standard_error_is_not_read() {
+    for (arguments, expected) in [(&["--nonsense"][..], 2), (&["config", "check", "/nowhere.toml"], 1)] {
+        let (_reader, mut writer) = std::io::pipe().expect("a pipe");
+        fill(&mut writer);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_aniseyoke"));
+        let mut child =
+            command.args(arguments).stdout(Stdio::null()).stderr(writer).spawn().expect("started");
+        let status = end_within(&mut child, SOON);
+        let _ = child.kill();
+        let _ = child.wait();
+        assert_eq!(status.and_then(|status| status.code()), Some(expected), "{arguments:?}");
+    }
+}
+
 /// Guards against a start that fails and panics, since it can't say why.
 #[test]
 fn a_start_that_fails_ends_with_its_status_though_the_reader_of_its_log_has_gone() {
