Cut upstream.rs and socket.rs by concern, and end the circles of last_look

Change: `upstream` is the pool, with attempt, answer, connection, handle, job and write_check; `socket` has presence and io; `time_left` is the header. The socket calls the check before a first byte through a trait, so that dependencies go one way. Names by the field's terms (docs/names.md); the comments tell the reason in plain words. No behaviour is meant to change: steps and their order are as before. The pool's test of a shortage goes through Transport::attempt, which is what the engine calls; assertions are as they were.

--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -20,8 +20,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep, timeout};
 
-/// So many callers are served at once. Danger: callers that never finish would fill the endpoint for good; one more takes
-/// the place of the oldest of them.
+/// So many callers are served at once. One more takes the place of the oldest, since callers that never finish would fill
+/// the endpoint for good.
 const MAX_CALLERS: usize = 8;
 /// The descriptors that the endpoint may need: its listener, its callers, and one that was just accepted.
 pub const DESCRIPTORS: usize = MAX_CALLERS + 2;
--- a/crates/proxy/src/config/parse.rs
+++ b/crates/proxy/src/config/parse.rs
@@ -29,8 +29,8 @@
         let object = root.get("settings").filter(|settings| settings.is_object());
         let object = object.ok_or_else(|| ParseError::missing("settings"))?;
         let mut settings = settings(object)?;
-        // Danger: lists that are pushed come unasked on the simulator's wire alone. On sockets nobody hears of a change
-        // who has no watch open, and it counts as notified all the same.
+        // Lists that are pushed come unasked on the simulator's wire alone. On sockets a proxy without an open watch hears of no
+        // change, which counts as notified all the same.
         let pushed = !std::mem::replace(&mut settings.subscribes, true);
         let names = names(object)?;
         check_classes(&settings, &names)?;
--- a/crates/proxy/src/discovery/connection.rs
+++ b/crates/proxy/src/discovery/connection.rs
@@ -49,8 +49,8 @@
 
     /// Sends one poll and reads its answer. The connection comes back with a complete answer only.
     pub(super) async fn exchange(mut self, addr: SocketAddr, path: String) -> Result<Answer, ExchangeError> {
-        // Danger: where a link falls silent, the kernel would go on sending a poll that was given up, and when the link is
-        // well those of all proxies would come to the service at once, each beside the poll that took its place.
+        // Where a link falls silent, the kernel would go on sending a poll that was given up. Once the link is well those of
+        // all proxies would come to the service together, each beside the poll that took its place.
         self.socket.reset_on_close(true);
         self.sender.ready().await.map_err(ExchangeError::ConnectionLost)?;
         let request = Request::get(path).header(HOST, addr.to_string()).body(Body::default())?;
--- a/crates/proxy/src/discovery/kept.rs
+++ b/crates/proxy/src/discovery/kept.rs
@@ -22,7 +22,8 @@
 const REFRESH_DIVISOR: u32 = 8;
 /// Entries of a list; with more it is not kept.
 const MAX_ENTRIES: usize = 1 << 14;
-/// A larger file is not read, in bytes: such a list takes less. Danger: a proxy may have 32 MB for everything.
+/// A larger file is not read, in bytes: such a list takes less, and a proxy may have 32 MB for
+/// everything.
 const MAX_FILE_BYTES: u64 = 4 << 20;
 
 /// What stands in the file.
--- a/crates/proxy/src/discovery/watcher.rs
+++ b/crates/proxy/src/discovery/watcher.rs
@@ -28,7 +28,7 @@
     /// How long watches and polls without a schedule may take, and when they are tried again.
     timeouts: WatchTimeouts,
     began: Instant,
-    /// Danger: were these of the clients' budget, a flood of clients would cut the proxy off from the list.
+    /// Not of the clients' budget, where a flood of clients would cut the proxy off from the list.
     descriptors: Rc<Descriptors>,
     /// Reused from one poll to the next.
     connection: Option<Connection>,
@@ -96,8 +96,8 @@
             tokio::select! {
                 Some(()) = triggers.watch_requests.recv() => {}
                 Some(addr) = triggers.address_changes.recv() => self.change_address(addr),
-                // Danger: the engine's backoff doubles, and may be longer than the time in which a change counts as
-                // notified once discovery can be reached.
+                // The engine's backoff doubles, and may be longer than the time in which a change counts as notified
+                // once discovery can be reached.
                 () = sleep_until(retry_at.unwrap_or(self.began)), if retry_at.is_some() => {}
                 else => return,
             }
@@ -141,7 +141,7 @@
                 () = sleep(wait) => {}
             }
         }
-        // Danger: an open watch at the old address is silent for many seconds, and then says that it is gone.
+        // An open watch at the old address would be silent for many seconds, and then end.
         tokio::select! {
             biased;
             Some(addr) = triggers.address_changes.recv() => {
@@ -170,8 +170,8 @@
         if self.has_slots() {
             return Recovery::WaitForSlot;
         }
-        // Danger: a watch that is silent is no sign that discovery is down; to wait before the next poll spends the time in
-        // which its news counts as notified. A discovery that is slow gets more time.
+        // A silent watch is no sign that discovery is down, and a wait before the next poll would take from the time in which
+        // its news counts as notified. A slow discovery gets more time.
         if matches!(error, PollError::TimedOut) {
             if self.timeouts.timed_out() {
                 return Recovery::Retry;
@@ -179,8 +179,8 @@
         } else {
             self.timeouts.failed();
         }
-        // Danger: the engine's backoff is made for a discovery that is down, and is longer than the time in which the news
-        // of a new one must be known.
+        // The engine's backoff is made for a discovery that is down, and is longer than the time in which the news of a new
+        // one must be known.
         let Some(wait) = self.new_address_backoff else { return Recovery::Stop };
         self.new_address_backoff = Some((wait * 2).min(MAX_NEW_ADDRESS_BACKOFF));
         Recovery::BackOff(wait)
@@ -217,8 +217,8 @@
     async fn poll(&mut self) -> Result<EndpointList, PollError> {
         let reused = self.connection.is_some();
         let polled = self.poll_once().await;
-        // A reused connection that has ended says nothing of discovery; a watch must go on at once. Danger: where polls
-        // are limited, a service that ends all connections at once would have all proxies poll at once.
+        // A reused connection that has ended says nothing of discovery; a watch goes on at once. Not where polls are
+        // limited: a service that ends all connections at once would have all proxies poll at once.
         match polled {
             Err(PollError::Failed(_)) if reused && self.connection.is_none() && !self.has_slots() => {
                 self.poll_once().await
@@ -255,7 +255,7 @@
     fn path(&self) -> String {
         match self.version {
             None => "/catalog/members".to_owned(),
-            // Danger: 0 is a version like any other; without it each poll is for the full list, and no watch.
+            // 0 is a version like any other; without it each poll would be for the full list, and no watch.
             Some(version) => {
                 format!("/catalog/members?from={version}&hold_ms={}", self.watch_duration().as_millis())
             }
--- a/crates/proxy/src/front/accept.rs
+++ b/crates/proxy/src/front/accept.rs
@@ -44,7 +44,7 @@
         match accept_error(e) {
             // It says nothing of the connections behind it.
             AcceptError::Passing => tracing::info!("accept: {e}"),
-            // Danger: accept fails at once, and again, and again.
+            // Without a wait accept would fail again at once, in a busy loop.
             AcceptError::Shortage => {
                 tracing::warn!("accept: {e}");
                 if !self.upstreams.yield_idle() {
@@ -59,8 +59,8 @@
         }
     }
 
-    /// Admits the connection that was accepted last, if it waits still, once there is a descriptor for it. Danger: what
-    /// accepts is dropped when the process is told to stop; the connection must not go with it.
+    /// Admits the connection that was accepted last, if it waits still, once there is a descriptor for it. The
+    /// connection outlives the task that accepted it, which is dropped when the process is told to stop.
     pub(super) async fn admit(self: &Rc<Self>) {
         if self.pending_connection.borrow().is_none() {
             return;
@@ -75,8 +75,8 @@
             } else if !self.upstreams.yield_idle() && !self.has_client_closing() {
                 self.close_idle_client(false);
             }
-            // Danger: a client whose connection is closed may have sent a request just then, and stays until it has its answer; the next one
-            // must not wait for that.
+            // A client whose connection is closed may have sent a request just then, and stays until it has its answer; the next
+            // one does not wait for that.
             let _ = timeout(CLOSE_WAIT, self.descriptors.freed()).await;
         };
         let Some((stream, peer)) = self.pending_connection.take() else { return };
@@ -101,9 +101,9 @@
         self.clients.borrow().iter().filter(|c| c.closing.get().is_none()).count()
     }
 
-    /// Closes connections that had one request and are kept open, while too many stay. Danger: clients too have only so
-    /// many connections; those that they keep open would leave them none for requests, and then none comes that could
-    /// take the place of another.
+    /// Closes connections that had one request and are kept open, while too many stay. Clients too have only so many
+    /// connections; those that they keep open would leave them none for requests, and then none would come to take the place
+    /// of another.
     pub(super) fn shed_idle_clients(&self) {
         let mut surplus = self.remaining_clients().saturating_sub(self.max_clients() / 2);
         while surplus > 0 && self.close_idle_client(true) {
@@ -113,8 +113,9 @@
 
     /// Closes the idle connection that is least likely to bring a request; false if none may be closed. `spare` leaves
     /// new connections, and in a flood all but those that had one request and are kept open.
-    /// Danger: silent connections of a flood must push out one another, and not those with requests; but a new one that
-    /// is about to send its request must not go before those that have their answer.
+    ///
+    /// Silent connections of a flood push out one another, and not those with requests; but a new one that is about to send
+    /// its request does not go before those that have their answer.
     fn close_idle_client(&self, spare: bool) -> bool {
         let clients = self.clients.borrow();
         let mut idle: Vec<_> =
@@ -133,18 +134,19 @@
         };
         idle.retain(|c| !spare || if flood { rank(c) == 0 } else { !about_to_send(c) });
         idle.sort_by_key(|c| (rank(c), c.inactive_since()));
-        let client = idle.iter().find(|c| c.socket.silent()).or(idle.first());
+        let client = idle.iter().find(|c| c.socket.has_no_input()).or(idle.first());
         client.is_some_and(|client| {
             client.request_close(CloseReason::Displaced);
             true
         })
     }
 
-    /// Whether a connection is about to be closed. Danger: to close another for each that comes before it is gone would
-    /// close all those that bring requests.
+    /// Whether a connection is about to be closed. Were another closed for each that comes before it is gone, all those that
+    /// bring requests would be.
     fn has_client_closing(&self) -> bool {
-        let about_to_close =
-            |c: &Rc<Client>| c.closing.get().is_some() && !c.has_open_request.get() && !c.socket.stalled();
+        let about_to_close = |c: &Rc<Client>| {
+            c.closing.get().is_some() && !c.has_open_request.get() && !c.socket.is_write_blocked()
+        };
         self.clients.borrow().iter().any(about_to_close)
     }
 }
--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -4,7 +4,7 @@
 use super::request::Rejection;
 use super::Server;
 use crate::relay::Outgoing;
-use crate::socket::{Presence, Socket, Waiter, Word};
+use crate::socket::{Presence, Probe, Socket, Waiter};
 use crate::upstream::Reply;
 use aniseyoke_core::Answer;
 use hyper::body::{Bytes, Incoming};
@@ -43,7 +43,8 @@
             let ready = !self.drain.is_active() && self.engine.can_serve();
             return text_response(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
         }
-        let word = if request.version() == Version::HTTP_11 { Word::Interim } else { Word::Begin };
+        let is_http_11 = request.version() == Version::HTTP_11;
+        let probe = if is_http_11 { Probe::InterimResponse } else { Probe::StatusLineByte };
         let mut parsed = match self.parse_request(request, received_at).await {
             Ok(parsed) => parsed,
             Err(Rejection { status, reason }) => {
@@ -54,27 +55,27 @@
                 return response;
             }
         };
-        // Danger: nodes and the record of retries know a request by its id; a second one with the same id is somebody
-        // else's, and must not disturb the first.
+        // Nodes and the record of retries know a request by its id; a second one with the same id is somebody else's, and must
+        // not disturb the first.
         let id = parsed.job.headers[CORRELATION_ID].clone();
         if !self.open_request_ids.borrow_mut().insert(id.clone()) {
             return reject(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
         }
         let open_id = OpenRequestId { server: self.clone(), id };
         let is_head = parsed.job.method == Method::HEAD;
-        // Danger: of a client that ended its sending before its request was read nobody knows for how long it has been
-        // gone; what is sent for it now may be sent for nobody.
+        // Nobody knows for how long a client has been gone that ended its sending before its request was read; what is sent
+        // for it now may be sent for nobody.
         let probe_time =
             Duration::from_nanos(parsed.request.remaining / PRESENCE_PROBE_DIVISOR).min(MAX_PRESENCE_PROBE);
-        if socket.presence(word, probe_time).await == Presence::Gone {
+        if socket.presence(probe, probe_time).await == Presence::Gone {
             return client_gone();
         }
-        parsed.job.waiter = Some(Waiter::new(socket, word, probe_time));
+        parsed.job.waiter = Some(Waiter::new(socket, probe, probe_time));
         let mut ticket = self.engine.submit(parsed);
         let mut response = tokio::select! {
             biased;
             answer = ticket.answer() => to_response(answer, is_head),
-            () = socket.hung_up(word) => client_gone(),
+            () = socket.closed_by_peer(probe) => client_gone(),
         };
         if response.body().relayed() {
             response.body_mut().hold(open_id);
@@ -94,7 +95,7 @@
         Answer::Served(response) => {
             let (mut head, body) = response.into_parts();
             strip_hop_by_hop(&mut head.headers);
-            // Danger: hyper believes a length that stands here; the body held has one of its own.
+            // Hyper believes a length that stands here, and the buffered body has one of its own.
             if !is_head {
                 head.headers.remove(header::CONTENT_LENGTH);
             }
@@ -118,8 +119,8 @@
     }
 }
 
-/// Rejects a request and closes its connection. Danger: a client that sends malformed requests again and again on one
-/// connection costs more than one that has to connect for each; and what follows on it may be the rest of this one.
+/// Rejects a request and closes its connection: what follows on it may be the rest of this one, and a client that sends
+/// malformed requests again and again costs less when it has to connect for each.
 pub fn reject(status: StatusCode, reason: &'static str) -> Response<Outgoing> {
     let mut response = text_response(status, reason);
     close_connection(&mut response);
--- a/crates/proxy/src/front/client.rs
+++ b/crates/proxy/src/front/client.rs
@@ -110,9 +110,10 @@
     /// Whether the client has read nothing of an answer for so long that it is not to have the rest.
     fn answer_unread(&self, now: Instant) -> bool {
         if self.has_open_request.get() {
-            return self.socket.stuck(STREAM_READ_TIMEOUT);
+            return self.socket.is_stuck(STREAM_READ_TIMEOUT);
         }
-        self.socket.stalled() && now.saturating_duration_since(self.idle_since.get()) > ANSWER_READ_TIMEOUT
+        self.socket.is_write_blocked()
+            && now.saturating_duration_since(self.idle_since.get()) > ANSWER_READ_TIMEOUT
     }
 
     /// Whether a part of a request head has been read behind the requests that have their answer.
@@ -140,17 +141,17 @@
         if self.answer_unread(Instant::now()) {
             return CloseStep::Now;
         }
-        if self.has_open_request.get() || self.socket.stalled() {
+        if self.has_open_request.get() || self.socket.is_write_blocked() {
             self.input_checked.set(false);
             return if self.has_partial_head() { CloseStep::AfterNextAnswer } else { CloseStep::AfterAnswer };
         }
-        if !self.input_checked.get() && !self.socket.silent() {
+        if !self.input_checked.get() && !self.socket.has_no_input() {
             self.input_checked.set(true);
             self.close_signal.notify_one();
             return CloseStep::CheckInput;
         }
         if self.has_partial_head() {
-            self.socket.tell(INCOMPLETE_REQUEST_ANSWER);
+            self.socket.try_send(INCOMPLETE_REQUEST_ANSWER);
             self.partial_head_refused.set(true);
         }
         CloseStep::Now
@@ -178,7 +179,7 @@
         let idle = (over(self.idle_since.get(), IDLE_TIMEOUT)
             || drain.closes_idle(self.idle_since.get(), now))
             && !self.has_partial_head()
-            && self.socket.silent();
+            && self.socket.has_no_input();
         let reason = match (overdue, stopped, idle) {
             (true, ..) => CloseReason::HeadOverdue,
             (_, true, _) => CloseReason::HeadStopped,
@@ -230,7 +231,7 @@
                         close_connection(&mut response);
                     }
                     if response.body().relayed() {
-                        client.socket.stream();
+                        client.socket.prepare_for_streaming();
                         response.body_mut().hold(open_request);
                     }
                     Ok::<_, Infallible>(response)
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -3,8 +3,9 @@
 use super::headers::{strip_hop_by_hop, CORRELATION_ID};
 use super::Server;
 use crate::duration::nanos;
+use crate::time_left::TIME_LEFT;
 use crate::upload;
-use crate::upstream::{Job, TIME_LEFT};
+use crate::upstream::Job;
 use aniseyoke_core::IncomingRequest;
 use aniseyoke_decision::api::{self, Idempotency, Nanos};
 use hyper::body::Incoming;
@@ -99,7 +100,7 @@
         let settings = &self.settings.classes[class];
         let time_left = match single(head, &TIME_LEFT, "more than one X-Time-Left")? {
             None => settings.deadline,
-            // Danger: what is kept for a request is kept for so long.
+            // A request may not have its state kept for longer than its class allows.
             Some(value) => {
                 let time_left = parse_time_left(value).ok_or(Rejection::bad_request("bad X-Time-Left"))?;
                 time_left.min(settings.deadline)
--- a/crates/proxy/src/front/resources.rs
+++ b/crates/proxy/src/front/resources.rs
@@ -36,7 +36,7 @@
 
     /// The connections that this process may hold beside others with these claims.
     pub fn max_connections(&self, others: &[Option<usize>]) -> usize {
-        // Danger: each connection may come to hold what is read ahead of it and what is still to be written.
+        // Each connection may come to hold what is read ahead of it and what is still to be written.
         let by_memory = self.memory / (others.len() + 1) / 4 * 3 / (2 * BUFFER_MOST);
         let descriptors =
             peers::remaining_descriptors(self.sockets, others).saturating_sub(self.base_descriptors);
--- a/crates/proxy/src/front/shutdown.rs
+++ b/crates/proxy/src/front/shutdown.rs
@@ -33,7 +33,7 @@
         let start = Instant::now();
         let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let longest = Duration::from_nanos(longest);
-        // Danger: a request that comes now on a connection that is still open may have a deadline beyond this process's
+        // A request that comes now on a connection that is still open may have a deadline beyond this process's
         // own end; one that came before may keep it, since what is unanswered at the end is not held against it.
         self.kill_deadline.set(Some(start + longest.min(MAX_DEADLINE) + ANSWER_MARGIN));
         let mut until = start + MIN_ACCEPT;
--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -72,8 +72,8 @@
         options.opening,
     );
     let names = Rc::new(config.names);
-    // Danger: who asks for what is newer than an old list hears nothing while nothing is, and can't tell it from a
-    // discovery that is down. A process that takes over asks for the full list.
+    // A process that takes over asks for the full list: who asks for what is newer than an old list hears nothing while
+    // nothing is, and can't tell that from a discovery that is down.
     let version = config.known.as_ref().filter(|_| !handed_over).map(|known| known.version);
     let watcher = EndpointWatcher::new(
         config.discovery,
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -54,7 +54,7 @@
 
 impl Slot {
     fn take_any(dir: &Path) -> Option<Slot> {
-        // Danger: whoever checks whether a slot is taken locks it for a moment, so each is tried again.
+        // Each is tried again, since whoever checks whether a slot is taken locks it for a moment.
         (0..ROUNDS * MAX_PROCESSES).find_map(|n| Self::take(dir, n % MAX_PROCESSES))
     }
 
--- a/crates/proxy/src/plan.rs
+++ b/crates/proxy/src/plan.rs
@@ -10,8 +10,8 @@
 use aniseyoke_routes::{RouteRule, Routing, RoutingTable};
 use rustc_hash::FxHashMap;
 
-/// So many unknown names are reported at once. Danger: ten thousand routes to a class with a mistake in
-/// its name would be ten thousand lines.
+/// So many unknown names are reported at once: ten thousand routes to a class whose name has a mistake
+/// would be ten thousand lines.
 const MAX_UNKNOWN_NAMES: usize = 100;
 
 /// Looks names up, and gathers those that the platform does not know.
--- a/crates/proxy/src/socket/tests.rs
+++ b/crates/proxy/src/socket/tests.rs
@@ -8,7 +8,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpSocket};
 
-/// Danger: a kept connection on which something has come would give it to the next request. Nothing here lets the
+/// Guards against a kept connection that gives what has come on it to the next request. Nothing here lets the
 /// runtime look at its sockets between the writing and the question.
 #[tokio::test(flavor = "current_thread")]
 async fn what_has_come_is_seen_before_the_runtime_has_looked() {
@@ -17,13 +17,13 @@
     let (far, _) = listener.accept().await.expect("accepted");
     far.writable().await.expect("writable");
     let socket = Socket::new(stream, Descriptors::new(1).take().expect("a descriptor"));
-    assert!(socket.silent());
+    assert!(socket.has_no_input());
     far.try_write(b"surplus").expect("written");
-    assert!(!socket.silent());
+    assert!(!socket.has_no_input());
 }
 
-/// Danger: taken for unwritten, a request that ran would be sent again; taken for written, one that never
-/// ran would be failed.
+/// Guards against a request that ran, is taken for unwritten and is sent again, and one that is taken for written and never
+/// ran, and fails.
 #[tokio::test(flavor = "current_thread")]
 async fn a_message_is_whole_once_its_last_byte_is_written() {
     const LENGTH: usize = 1 << 20;
@@ -43,7 +43,7 @@
         _ = exchange.as_mut() => panic!("ended"),
         read = far.read_exact(&mut first) => { read.expect("read"); }
     }
-    assert!(!socket.whole());
+    assert!(!socket.is_fully_written());
     let mut rest = vec![0; LENGTH];
     tokio::select! {
         _ = exchange.as_mut() => panic!("ended"),
@@ -55,5 +55,5 @@
         _ = exchange.as_mut() => panic!("ended"),
         read = far.read_exact(&mut rest[..head]) => { read.expect("read"); }
     }
-    assert!(socket.whole());
+    assert!(socket.is_fully_written());
 }
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -85,7 +85,7 @@
 }
 
 impl ReceiveRate {
-    /// Danger: a byte now and then would hold a connection for good.
+    /// Whether a client sends so slowly that it would hold its connection for good.
     fn too_slow(&self) -> bool {
         self.waited.saturating_sub(STALL_TIMEOUT).as_secs_f64() * MIN_BYTES_PER_SECOND > self.received as f64
     }
@@ -160,7 +160,7 @@
 }
 
 impl Upload {
-    /// Danger: a body of which some is lost with an attempt must not go out as though it were whole.
+    /// The body for one more attempt; none where an attempt has taken some of it that is not kept.
     fn send(upload: &Rc<Upload>) -> Option<UploadBody> {
         let ahead = upload.ahead.borrow().as_ref().map(|(ahead, _)| ahead.clone())?;
         let stall = Box::pin(sleep(STALL_TIMEOUT));
--- a/crates/proxy/src/versions/mod.rs
+++ b/crates/proxy/src/versions/mod.rs
@@ -1,6 +1,6 @@
 //! Versions of the configuration from a control service. Reading, checking and keeping them is the work of a thread of its
 //! own (`follow`); the serving thread only replaces the configuration in force between two events (`updater`). `layers` lays
-//! a version over the other layers of the configuration. Danger: to parse and
+//! a version over the other layers of the configuration: to parse and
 //! check ten thousand routes takes longer than requests may wait for the one thread that serves.
 
 mod follow;
