Hold up the read of one client alone, and close leavers while no process starts

Cause: the tests'. Each start of a process by another thread forks, and until the child executes its program it holds a copy of every connection of the test. A client that a test has closed then ends some ms later. In time_left.rs the rule for "the request has been read" took any read at the proxy's port: it struck at the last client's late end, and both hold-ups fell before the request was read. In leavers.rs a client that left while a process was being started had not left for the proxy.

Change: the rule is for reads of what comes from that client's port (About::ArrivedFrom in the place of Arrived, which nothing else used). The rig starts processes under a lock that leavers share while they close, and sends signals without a process. No bound or check is changed.

Measured: the new test drops another client right before the request.

--- a/crates/faults-preload/src/engine.rs
+++ b/crates/faults-preload/src/engine.rs
@@ -212,14 +212,15 @@
     match (about, subject) {
         (About::Any, _) => true,
         (About::Thread(name), _) => thread_is_named(name),
-        (About::Sockets | About::LocalPort(_) | About::Arrived(_) | About::PeerPort(_), Subject::Path(_)) => {
-            false
-        }
+        (
+            About::Sockets | About::LocalPort(_) | About::PeerPort(_) | About::ArrivedFrom(_),
+            Subject::Path(_),
+        ) => false,
         (About::Sockets, Subject::Descriptor(fd)) => local_port(fd).is_some_and(|port| port > 0),
         (About::Sockets, _) => true,
         (About::LocalPort(port), Subject::Descriptor(fd)) => local_port(fd) == Some(*port),
-        (About::Arrived(port), Subject::Descriptor(fd)) => local_port(fd) == Some(*port) && readable(fd),
         (About::PeerPort(port), Subject::Descriptor(fd)) => peer_port(fd) == Some(*port),
+        (About::ArrivedFrom(port), Subject::Descriptor(fd)) => peer_port(fd) == Some(*port) && readable(fd),
         (About::PeerPort(port), Subject::Connection(to)) => *port == to,
         (About::Files(prefix), Subject::Path(path)) => {
             Path::new(OsStr::from_bytes(path.to_bytes())).starts_with_text(prefix)
--- a/crates/faults/src/plan.rs
+++ b/crates/faults/src/plan.rs
@@ -62,10 +62,10 @@
     Sockets,
     /// A socket whose own port is this one: a listener, or a connection that it took.
     LocalPort(u16),
-    /// Such a socket on which bytes, or its peer's end, have come and were not read.
-    Arrived(u16),
     /// A socket that is connected, or is to be connected, to this port.
     PeerPort(u16),
+    /// A socket that is connected to this port, on which bytes, or its peer's end, have come and were not read.
+    ArrivedFrom(u16),
     /// A file whose path begins so.
     Files(PathBuf),
     /// Anything that is called by a thread of this name.
--- a/crates/proxy/tests/held/mod.rs
+++ b/crates/proxy/tests/held/mod.rs
@@ -147,6 +147,11 @@
     Plan::new(0, &readings.iter().map(rule).collect::<Vec<_>>())
 }
 
+/// Reads of what has come from a client. Those of other connections, such as one whose client has just left, are not held.
+fn arrived_from(client: &Peer) -> About {
+    About::ArrivedFrom(client.0.get_ref().local_addr().expect("an address").port())
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).expect("short")
 }
@@ -187,12 +192,24 @@
 
     /// From the moment on in which it has read a request, and not before: its first read that finds bytes is told.
     pub fn hold_once_read(&self, client: &mut Peer, request: &str, readings: &[u64]) -> Instant {
+        self.hold_once_read_behind(client, request, readings, || {})
+    }
+
+    /// The same where something else happens right before the request is sent.
+    pub fn hold_once_read_behind(
+        &self,
+        client: &mut Peer,
+        request: &str,
+        readings: &[u64],
+        before_it: impl FnOnce(),
+    ) -> Instant {
         let rule = Rule::new("read", &Call::RECEIVING, Effect::DelayAfter(micros(READ_HELD)));
-        let rule = rule.about(About::Arrived(self.proxy.addr.port())).often(Often::Only(1));
+        let rule = rule.about(arrived_from(client)).often(Often::Only(1));
         let before = self.faults.forced("read");
         self.put(&Plan::new(0, &[rule]));
         // Danger: a read that is under way behind the last answer, and finds the request, was looked at before that came.
         until("it waits", || self.waits());
+        before_it();
         let sent = Instant::now();
         client.write(request);
         until("it has been read", || self.faults.forced("read") > before);
@@ -207,10 +224,10 @@
         stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('S'))
     }
 
-    /// Before the read that takes the next request.
-    pub fn hold_before_read(&self) {
+    /// Before the read that takes the client's next request.
+    pub fn hold_before_read(&self, client: &Peer) {
         let rule = Rule::new("held", &Call::RECEIVING, Effect::DelayBefore(micros(HELD_UP)));
-        let rule = rule.about(About::Arrived(self.proxy.addr.port())).often(Often::Only(1));
+        let rule = rule.about(arrived_from(client)).often(Often::Only(1));
         self.put(&Plan::new(0, &[rule]));
     }
 
--- a/crates/proxy/tests/leavers.rs
+++ b/crates/proxy/tests/leavers.rs
@@ -77,7 +77,7 @@
                 client.end_and_read_for(LONG_WAIT);
             }
         }
-        drop(client);
+        close_at_once(client);
     }
 }
 
--- a/crates/proxy/tests/rig/mod.rs
+++ b/crates/proxy/tests/rig/mod.rs
@@ -1,7 +1,8 @@
 //! The real program between clients, nodes and discovery that a test plays by hand on loopback sockets.
 #![allow(dead_code)]
 
-use nix::sys::signal::Signal;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
 use serde_json::{json, Value};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -10,7 +11,7 @@
 use std::path::PathBuf;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::mpsc;
+use std::sync::{mpsc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 /// How long a step may take before the test is given up: far longer than any takes.
@@ -253,7 +254,23 @@
     command.env_clear().env("PROXY_CONFIG", &file).stderr(Stdio::piped());
     more(&mut command);
     kill_with_thread(&mut command);
-    (command.spawn().expect("started"), file)
+    (spawn(&mut command), file)
+}
+
+/// Held by who starts a process, and shared by who closes a connection whose end is to go out at once: until a new process
+/// executes its program it holds a copy of each connection of this one open.
+static PROCESS_START: RwLock<()> = RwLock::new(());
+
+/// Starts a process; it executes its program when this returns.
+fn spawn(command: &mut Command) -> Child {
+    let _starting = PROCESS_START.write().unwrap_or_else(PoisonError::into_inner);
+    command.spawn().expect("started")
+}
+
+/// Closes a connection whose end, in order or as a reset, goes out at once.
+pub fn close_at_once(peer: Peer) {
+    let _none_starts = PROCESS_START.read().unwrap_or_else(PoisonError::into_inner);
+    drop(peer);
 }
 
 /// Has the child be killed when the thread that starts it ends, also where the test itself is killed. A proxy that is left
@@ -299,9 +316,11 @@
         Peer::to(self.addr)
     }
 
+    /// Sends a signal by its name, such as `-TERM`.
     pub fn signal(&self, name: &str) {
-        let done = Command::new("kill").args([name, &self.child.id().to_string()]).status();
-        assert!(done.expect("kill").success());
+        let signal: Signal = name.replacen('-', "SIG", 1).parse().expect("a signal");
+        let process = Pid::from_raw(i32::try_from(self.child.id()).expect("an id"));
+        kill(process, signal).expect("sent");
     }
 
     /// Stops the process until it is told to continue; it does nothing more once this returns.
--- a/crates/proxy/tests/time_left.rs
+++ b/crates/proxy/tests/time_left.rs
@@ -95,6 +95,23 @@
     judge(&rows, "a fetch from the origin", 2);
 }
 
+/// Guards against a test that takes the end of another client for the request, and holds the process up before that is read:
+/// another thread that forks keeps connections open for a moment, so that their ends come late.
+#[test]
+fn another_client_that_ends_meanwhile_is_not_taken_for_the_request() {
+    let rows = sweep(
+        &pairs(4),
+        || site(&[Does::Hits], Does::Hits, |_| {}),
+        |site, readings| {
+            asked(site, |site, client, request| {
+                let other = site.client();
+                site.hold_once_read_behind(client, request, readings, || close_at_once(other))
+            })
+        },
+    );
+    judge(&rows, "behind the end of another client", 1);
+}
+
 #[test]
 fn no_retry_tells_of_more_time_than_its_client_has_left() {
     let rows = sweep(
@@ -172,7 +189,7 @@
     let before_read = |site: &Site, _: &u32| {
         least(|| {
             asked(site, |site, client, request| {
-                site.hold_before_read();
+                site.hold_before_read(client);
                 send(client, request)
             })
         })
