Return an idle connection to the pool when the client that it was taken for has left

Cause: where opening is limited, who waits for a permit takes a connection that has become idle, and holds it while its client is asked whether it is there. Where it was not, the connection was closed with the attempt, unwritten, and the next request had to wait for a permit.

Change: what is taken from the pool goes back, in its place and with its age, unless the attempt uses it.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt at a node, from the choice of its connection to its outcome.
 
 use super::answer::{receive, Received};
-use super::connection::Connection;
+use super::connection::{Connection, ReservedConnection};
 use super::handle::AttemptHandle;
 use super::job::Job;
 use super::write_check::WriteCheck;
@@ -123,7 +123,7 @@
             Received::Unusable => Err(TryError::Ended(Status::Reset)),
             Received::Whole(outcome) => {
                 if connection.socket.is_fully_written() {
-                    self.pool.keep(self.server, epoch, connection);
+                    self.pool.keep_used(self.server, epoch, connection);
                 }
                 Ok(outcome)
             }
@@ -132,7 +132,7 @@
                 let (pool, server) = (Rc::downgrade(self.pool), self.server);
                 Ok(answer.into_outcome(move || {
                     if let Some(pool) = pool.upgrade().filter(|_| connection.socket.is_fully_written()) {
-                        pool.keep(server, epoch, connection);
+                        pool.keep_used(server, epoch, connection);
                     }
                 }))
             }
@@ -149,7 +149,8 @@
         let idle = idle.filter(|idle| !asked || idle.is_clean());
         let body = self.job.body.send().ok_or(NOT_SENT)?;
         let (addr, epoch) = self.pool.open_to(self.server).ok_or(NOT_SENT)?;
-        let (mut connection, reused) = match idle.or_else(|| self.pool.take_idle(self.server)) {
+        let idle = idle.or_else(|| self.pool.take_idle(self.server));
+        let (mut connection, reused) = match idle.and_then(ReservedConnection::into_connection) {
             Some(connection) => (connection, true),
             None => {
                 let connection = self.pool.connect(addr).await.map_err(TryError::Ended)?;
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,12 +1,14 @@
 //! One connection to a node.
 
+use super::Upstreams;
 use crate::descriptors::Permit;
 use crate::socket::{Io, Socket};
 use crate::upload::Sending;
 use crate::BUFFER_MOST;
+use aniseyoke_decision::api::ServerId;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
@@ -52,3 +54,36 @@
     pub(super) connection: Connection,
     pub(super) since: Instant,
 }
+
+/// An idle connection that was taken from the pool for an attempt. Unless the attempt uses it, it goes back.
+pub struct ReservedConnection {
+    pool: Weak<Upstreams>,
+    server: ServerId,
+    /// The node's epoch when it was taken.
+    epoch: u64,
+    idle: Option<IdleConnection>,
+}
+
+impl ReservedConnection {
+    pub(super) fn new(pool: &Rc<Upstreams>, server: ServerId, epoch: u64, idle: IdleConnection) -> Self {
+        ReservedConnection { pool: Rc::downgrade(pool), server, epoch, idle: Some(idle) }
+    }
+
+    /// Whether nothing has come on it meanwhile.
+    pub(super) fn is_clean(&self) -> bool {
+        self.idle.as_ref().is_some_and(|idle| idle.connection.is_clean())
+    }
+
+    /// The connection, for an attempt that uses it.
+    pub(super) fn into_connection(mut self) -> Option<Connection> {
+        self.idle.take().map(|idle| idle.connection)
+    }
+}
+
+impl Drop for ReservedConnection {
+    fn drop(&mut self) {
+        if let (Some(pool), Some(idle)) = (self.pool.upgrade(), self.idle.take()) {
+            pool.keep(self.server, self.epoch, idle);
+        }
+    }
+}
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -22,7 +22,7 @@
 use aniseyoke_decision::api::{Entry, Nanos, ServerId, State, Status};
 use aniseyoke_sockets::{connect, ConnectError};
 use attempt::Attempt;
-use connection::{Connection, IdleConnection};
+use connection::{Connection, IdleConnection, ReservedConnection};
 use handle::AttemptHandle;
 use hyper::Response;
 use rustc_hash::{FxHashMap, FxHashSet};
@@ -184,11 +184,11 @@
     /// Waits for a permit to open a connection, or for one that has become idle meanwhile, which is returned. None if more
     /// than half of the attempt's time would go by: another node may have room sooner, and this one is not to blame.
     async fn permit(
-        &self,
+        self: &Rc<Self>,
         server: ServerId,
         due: Instant,
         time_limit: Duration,
-    ) -> Option<Option<Connection>> {
+    ) -> Option<Option<ReservedConnection>> {
         let Some(opening) = &self.opening else { return Some(None) };
         let until = due - time_limit / 2;
         loop {
@@ -216,25 +216,34 @@
     }
 
     /// The connection to a node that has become idle last, of those that can be used again.
-    fn take_idle(&self, server: ServerId) -> Option<Connection> {
+    fn take_idle(self: &Rc<Self>, server: ServerId) -> Option<ReservedConnection> {
         let mut nodes = self.nodes.borrow_mut();
-        let idle = &mut nodes.get_mut(&server)?.idle;
-        while let Some(IdleConnection { connection, since }) = idle.pop() {
-            if since.elapsed() < self.max_idle && connection.is_clean() {
-                return Some(connection);
+        let Node { idle, epoch, .. } = nodes.get_mut(&server)?;
+        while let Some(candidate) = idle.pop() {
+            if candidate.since.elapsed() < self.max_idle && candidate.connection.is_clean() {
+                return Some(ReservedConnection::new(self, server, *epoch, candidate));
             }
         }
         None
     }
 
-    /// Keeps a connection for the next attempt, if its node is the same as when it was chosen.
-    fn keep(&self, server: ServerId, epoch: u64, connection: Connection) {
-        if self.max_idle.is_zero() || !connection.is_clean() {
+    /// Keeps a connection that has just become idle for the next attempt.
+    fn keep_used(&self, server: ServerId, epoch: u64, connection: Connection) {
+        if !self.max_idle.is_zero() {
+            self.keep(server, epoch, IdleConnection { connection, since: Instant::now() });
+        }
+    }
+
+    /// Keeps an idle connection for the next attempt, if its node is the same as when it was chosen.
+    fn keep(&self, server: ServerId, epoch: u64, idle: IdleConnection) {
+        if !idle.connection.is_clean() {
             return;
         }
         let mut nodes = self.nodes.borrow_mut();
         if let Some(node) = nodes.get_mut(&server).filter(|node| node.epoch == epoch && node.ready) {
-            node.idle.push(IdleConnection { connection, since: Instant::now() });
+            // The one that has been idle for longest stays the first.
+            let at = node.idle.partition_point(|other| other.since <= idle.since);
+            node.idle.insert(at, idle);
         }
     }
 
