--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod http;
+mod late_copy;
 mod named_id;
 mod proxy;
 mod record;
@@ -32,6 +33,7 @@
     let run = Run { record: Arc::new(record), temporary: temporary.clone(), trouble };
     run.record.line(&format!("case {case}, {} the disruption", if trouble { "with" } else { "without" }));
     let held = match case.as_str() {
+        "late-copy" => late_copy::run(&run),
         "named-id" => named_id::run(&run),
         _ => Err(std::io::Error::other("no such case")),
     };
