--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -8,6 +8,7 @@
 mod proxy;
 mod record;
 mod site;
+mod stalled_upload;
 
 use record::Record;
 use std::process::ExitCode;
@@ -35,6 +36,7 @@
     let held = match case.as_str() {
         "late-copy" => late_copy::run(&run),
         "named-id" => named_id::run(&run),
+        "stalled-upload" => stalled_upload::run(&run),
         _ => Err(std::io::Error::other("no such case")),
     };
     let (text, code) = match held {
