--- a/review/standins/src/late_copy.rs
+++ b/review/standins/src/late_copy.rs
@@ -19,7 +19,7 @@
 const DURATION: Duration = Duration::from_secs(90);
 const TIME_LEFT: f64 = 1.2;
 /// How many of a hundred answers are followed by a copy.
-const SHARE: u64 = 10;
+const SHARE: u64 = 20;
 
 #[derive(Default)]
 struct Counts {
