--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -7,7 +7,9 @@
 mod named_id;
 mod proxy;
 mod record;
+mod restart_upload;
 mod site;
+mod stalled_bodies;
 mod stalled_upload;
 
 use record::Record;
@@ -36,6 +38,9 @@
     let held = match case.as_str() {
         "late-copy" => late_copy::run(&run),
         "named-id" => named_id::run(&run),
+        // Beside the cases (REPORT.md).
+        "restart-upload" => restart_upload::run(&run),
+        "stalled-bodies" => stalled_bodies::run(&run),
         "stalled-upload" => stalled_upload::run(&run),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins/src/proxy.rs
+++ b/review/standins/src/proxy.rs
@@ -37,10 +37,22 @@
 impl Proxy {
     /// Starts the proxy and waits until it says yes to `GET /_health`. `dir` is a temporary folder.
     pub fn start(site: &Site, dir: &str, sockets: u32, log: &str, record: &Record) -> io::Result<Proxy> {
+        Proxy::start_with(site, dir, 128, sockets, log, record)
+    }
+
+    /// The same, with a limit of memory in MB.
+    pub fn start_with(
+        site: &Site,
+        dir: &str,
+        memory_mb: u32,
+        sockets: u32,
+        log: &str,
+        record: &Record,
+    ) -> io::Result<Proxy> {
         let dir = PathBuf::from(dir);
         let addr = TcpListener::bind("127.0.0.1:0")?.local_addr()?;
         let config = format!(
-            r#"{{"name":"p0","listen":"{addr}","discovery":"{}","seed":"6a77a23d6387cd0d","limits":{{"cores":1.0,"memory_mb":128,"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
+            r#"{{"name":"p0","listen":"{addr}","discovery":"{}","seed":"6a77a23d6387cd0d","limits":{{"cores":1.0,"memory_mb":{memory_mb},"sockets":{sockets}}},"known":{},"settings":{SETTINGS}}}"#,
             site.discovery,
             site.list()
         );
@@ -62,7 +74,9 @@
             .stderr(fs::File::create(log)?)
             .spawn()?;
         fs::write(dir.join("pid"), child.id().to_string())?;
-        record.line(&format!("proxy: started by `{command}`, {sockets} sockets, clients at {addr}"));
+        record.line(&format!(
+            "proxy: started by `{command}`, {memory_mb} MB, {sockets} sockets, clients at {addr}"
+        ));
         let mut proxy = Proxy { addr, child, dir };
         let start = Instant::now();
         while !proxy.is_healthy() {
