--- a/review/standins/src/late_copy.rs
+++ b/review/standins/src/late_copy.rs
@@ -82,6 +82,7 @@
             continue;
         }
         let answer = open.answer_until(Instant::now() + Duration::from_secs_f64(TIME_LEFT + 0.55));
+        record.line(&format!("client {n}: GET {target} {id}: {}", describe(&answer)));
         match &answer {
             Some(Ok(answer)) if answer.status() == 200 => {
                 counts.answered.fetch_add(1, Ordering::Relaxed);
@@ -91,11 +92,8 @@
                     counts.foreign.lock().unwrap().push(id.clone());
                 }
             }
-            answer => {
-                let count = counts.refused.fetch_add(1, Ordering::Relaxed);
-                if count < 20 {
-                    record.line(&format!("client {n}: GET {target} {id}: {}", describe(answer)));
-                }
+            _ => {
+                counts.refused.fetch_add(1, Ordering::Relaxed);
             }
         }
         let closes = |a: &crate::http::Message| {
--- a/review/standins/src/named_id.rs
+++ b/review/standins/src/named_id.rs
@@ -116,13 +116,11 @@
         return true;
     }
     let answer = connection.answer_until(start + OWED);
-    if n % 20 == 0 {
-        record.line(&format!(
-            "other client {n}: `Connection: {options}`: {} after {:.3} s",
-            describe(&answer),
-            start.elapsed().as_secs_f64()
-        ));
-    }
+    record.line(&format!(
+        "other client {n}: GET other-{n}, `Connection: {options}`: {} after {:.3} s",
+        describe(&answer),
+        start.elapsed().as_secs_f64()
+    ));
     answer.is_some()
 }
 
@@ -156,6 +154,7 @@
     }
     let sent = Instant::now();
     let answer = connection.answer_until(sent + Duration::from_secs_f64(TIME_LEFT) + SLACK);
+    record.line(&format!("usual client: GET {target} {id}: {}", describe(&answer)));
     match &answer {
         Some(Ok(answer)) => {
             counts.answered.fetch_add(1, Ordering::Relaxed);
@@ -164,13 +163,11 @@
         // The pages allow the close of a connection between requests, and the client sends once more.
         Some(Err(_)) => {}
         None => {
-            let lost = counts.lost.fetch_add(1, Ordering::Relaxed);
-            if lost < 20 {
-                record.line(&format!(
-                    "usual client: {id} LOST: the request is written, and there is no answer after {:.3} s",
-                    sent.elapsed().as_secs_f64()
-                ));
-            }
+            counts.lost.fetch_add(1, Ordering::Relaxed);
+            record.line(&format!(
+                "usual client: {id} LOST: the request is written, and there is no answer after {:.3} s",
+                sent.elapsed().as_secs_f64()
+            ));
         }
     }
     false
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -128,9 +128,7 @@
             node.excused.lock().unwrap().insert(id.to_owned());
         }
         *node.ran.lock().unwrap().entry(id.to_owned()).or_default() += 1;
-        if method == "PUT" {
-            record.line(&format!("{}: runs {method} {target} {id}, {} bytes", node.id, request.body.len()));
-        }
+        record.line(&format!("{}: runs {method} {target} {id}, {} bytes", node.id, request.body.len()));
         thread::sleep(Duration::from_millis(node.work_ms.load(Ordering::Relaxed)));
         node.pause();
         let value = format!("value of {target} for request {id} from {}", node.id);
@@ -144,6 +142,7 @@
                 connection.write(answer.as_bytes())?;
                 excused |= connection.has_input();
                 node.copies_sent.fetch_add(1, Ordering::Relaxed);
+                record.line(&format!("{}: a late copy of the answer to {id}", node.id));
             }
         }
     }
