Fix: a connection whose task panics gives up its descriptor and its place

Cause: serve_client removed a connection from the list of open clients in its last lines, which a panic skips. Once such entries fill max_clients(), has_client_closing stays true and admit waits forever.

Fix: front/clients.rs owns the list. Registering returns a value owned by the connection's task, whose Drop removes the entry and wakes the shutdown, however the task ends.

A unit test forces a panic without a request.

--- a/crates/proxy/src/front/accept.rs
+++ b/crates/proxy/src/front/accept.rs
@@ -68,7 +68,7 @@
             return;
         }
         let permit = loop {
-            if self.clients.borrow().len() >= self.max_clients() {
+            if self.clients.open().len() >= self.max_clients() {
                 if !self.has_client_closing() {
                     self.close_idle_client(false);
                 }
@@ -100,7 +100,7 @@
 
     /// Returns the number of connections that are not being closed.
     fn remaining_clients(&self) -> usize {
-        self.clients.borrow().iter().filter(|c| c.closing.get().is_none()).count()
+        self.clients.open().iter().filter(|c| c.closing.get().is_none()).count()
     }
 
     /// Closes idle connections, as selected by [`Self::close_idle_client`], while more than half of the
@@ -121,7 +121,7 @@
     /// Otherwise a new connection that is about to send its request is closed only after those whose requests
     /// have been answered.
     fn close_idle_client(&self, spare_new: bool) -> bool {
-        let clients = self.clients.borrow();
+        let clients = self.clients.open();
         let mut idle: Vec<_> =
             clients.iter().filter(|c| !c.has_open_request.get() && c.closing.get().is_none()).collect();
         let now = Instant::now();
@@ -151,6 +151,6 @@
         let about_to_close = |c: &Rc<Client>| {
             c.closing.get().is_some() && !c.has_open_request.get() && !c.socket.is_write_blocked()
         };
-        self.clients.borrow().iter().any(about_to_close)
+        self.clients.open().iter().any(about_to_close)
     }
 }
--- a/crates/proxy/src/front/client.rs
+++ b/crates/proxy/src/front/client.rs
@@ -213,8 +213,7 @@
         peer: SocketAddr,
         permit: DescriptorPermit,
     ) {
-        let client = Client::new(stream, peer, permit);
-        self.clients.borrow_mut().push(client.clone());
+        let client = self.clients.register(Client::new(stream, peer, permit));
         tokio::task::spawn_local(async move {
             let service = service_fn(|request| {
                 client.has_open_request.set(true);
@@ -222,7 +221,7 @@
                 // The head's last byte arrived with the last bytes that were read, or earlier.
                 let received_at = client.heads.last_bytes_at.get().unwrap_or_else(Instant::now);
                 let (server, client) = (&self, &client);
-                let open_request = OpenRequest(client.clone());
+                let open_request = OpenRequest(Rc::clone(client));
                 async move {
                     let mut response = match rejection {
                         Some(reason) => reject(StatusCode::BAD_REQUEST, reason),
@@ -269,8 +268,6 @@
                 }
             };
             tracing::debug!("{}", client.end(cause));
-            self.clients.borrow_mut().retain(|c| !Rc::ptr_eq(c, &client));
-            self.client_closed.notify_one();
         });
     }
 }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -3,13 +3,14 @@
 //! - `startup` builds the components, and `tasks` runs the background tasks;
 //! - `accept` admits connections and selects the one to close when descriptors run out;
 //! - `client` serves a connection, `head_reader` checks its request heads before hyper reads them, and `close`
-//!   describes its end;
+//!   describes its end; `clients` is the registry of the open connections;
 //! - `request` parses a request, and `answer` responds to it;
 //! - `resources` has the limits of the process, and `shutdown` the graceful shutdown.
 
 mod accept;
 mod answer;
 mod client;
+mod clients;
 mod close;
 mod error;
 mod head_reader;
@@ -36,7 +37,7 @@
 use crate::{admin, Engine};
 use aniseyoke_core::EngineConfig;
 use aniseyoke_decision::api;
-use client::Client;
+use clients::Clients;
 use hyper::header::HeaderValue;
 use resources::ResourceLimits;
 use startup::{ClientListener, Parts};
@@ -50,7 +51,7 @@
 use tasks::{every, reload_on_hangup};
 use tokio::net::TcpStream;
 use tokio::signal::unix::Signal;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::mpsc;
 use tokio::time::{sleep, Instant};
 
 /// Interval of closing surplus idle client connections.
@@ -78,12 +79,11 @@
     drain: Rc<Drain>,
     /// Number of other running processes of this proxy.
     other_processes: Cell<usize>,
-    clients: RefCell<Vec<Rc<Client>>>,
+    clients: Rc<Clients>,
     /// An accepted connection that waits for a descriptor of the budget.
     pending_connection: RefCell<Option<(TcpStream, SocketAddr)>>,
     /// The ids of all requests in progress. The hash must be keyed, since clients choose the ids.
     open_request_ids: RefCell<HashSet<HeaderValue>>,
-    client_closed: Notify,
     /// During shutdown, the time by which requests must be answered, since the process may be killed after
     /// it.
     kill_deadline: Cell<Option<Instant>>,
@@ -216,7 +216,7 @@
         let server = self.clone();
         every(CHECK_INTERVAL, move || {
             let now = Instant::now();
-            server.clients.borrow().iter().for_each(|client| client.close_if_overdue(now, &server.drain));
+            server.clients.open().iter().for_each(|client| client.close_if_overdue(now, &server.drain));
         });
         let server = self.clone();
         every(SHED_IDLE_INTERVAL, move || server.shed_idle_clients());
--- a/crates/proxy/src/front/shutdown.rs
+++ b/crates/proxy/src/front/shutdown.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::{sleep_until, timeout_at, Instant};
+use tokio::time::{timeout_at, Instant};
 
 /// New connections still arrive for some time after SIGTERM. They are accepted for at least this time,
 const MIN_ACCEPT_TIME: Duration = drain::GRACE_PERIOD;
@@ -52,14 +52,8 @@
         drop(listener);
         let disconnect_at = start + longest_deadline + EXIT_MARGIN;
         let exit_by = start + max_shutdown_time(longest_deadline);
-        while !self.clients.borrow().is_empty() {
-            tokio::select! {
-                () = self.client_closed.notified() => {}
-                () = sleep_until(disconnect_at) => {
-                    tracing::warn!("shutdown: time limit reached with clients still connected");
-                    break;
-                }
-            }
+        if timeout_at(disconnect_at, self.clients.all_closed()).await.is_err() {
+            tracing::warn!("shutdown: time limit reached with clients still connected");
         }
         exit_by
     }
--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -17,7 +17,7 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use tokio::net::TcpListener;
-use tokio::sync::{mpsc, Notify};
+use tokio::sync::mpsc;
 
 /// The client listener.
 pub(super) struct ClientListener {
@@ -95,10 +95,9 @@
         names,
         drain: Rc::<Drain>::default(),
         other_processes: Cell::new(0),
-        clients: RefCell::default(),
+        clients: Rc::default(),
         pending_connection: RefCell::default(),
         open_request_ids: RefCell::default(),
-        client_closed: Notify::new(),
         kill_deadline: Cell::new(None),
     });
     Ok(Parts { server, watcher, watch_requests })
--- a/crates/proxy/tests/clients.rs
+++ b/crates/proxy/tests/clients.rs
@@ -4,6 +4,7 @@
 
 use rig::*;
 use serde_json::json;
+use std::io::BufRead;
 use std::time::{Duration, Instant};
 
 #[test]
@@ -182,3 +183,38 @@
     assert_eq!((answer.status(), answer.header("connection")), (200, Some("close")));
     assert_eq!(one_request.read(), None);
 }
+
+/// Answers every request on every connection to a node, until the server is dropped.
+fn answer_all(node: Server) {
+    std::thread::spawn(move || {
+        for stream in node.accepted {
+            std::thread::spawn(move || {
+                let mut peer = Peer::new(stream);
+                while peer.read().is_some() {
+                    peer.reply("200 OK", "X-Lookup: hit\r\n", "value");
+                }
+            });
+        }
+    });
+}
+
+/// Guards against connections that a request leaves dead in the registry, with their descriptors and places:
+/// the proxy then accepts nobody else and does not end after SIGTERM.
+#[test]
+fn requests_that_name_their_id_in_connection_leave_no_dead_connections() {
+    const REQUESTS: usize = 24;
+    let (mut proxy, cache, _discovery) = proxy_with_eight_clients();
+    answer_all(cache);
+    for _ in 0..REQUESTS {
+        let mut client = proxy.client();
+        client.ask("read", "Connection: keep-alive, X-Correlation-Id\r\n");
+        client.0.get_ref().set_read_timeout(Some(Duration::from_secs(1))).expect("a time-out");
+        // An answer or a close; with neither the connection counts as dead.
+        let _ = client.0.fill_buf();
+    }
+    let mut usual = proxy.client();
+    usual.ask("read", "");
+    assert_eq!(usual.answer().status(), 200);
+    proxy.signal("-TERM");
+    until("it has ended", || proxy.child.try_wait().expect("a state").is_some_and(|s| s.success()));
+}
