Fix: the id and the key of a request stay although Connection names them

Cause: check_head checks both headers, then strip_hop_by_hop removes whatever Connection names, and respond read the id from what was left: a panic.

--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -1,7 +1,7 @@
 //! Responds to each client request with exactly one final answer.
 
-use super::headers::{strip_hop_by_hop, CORRELATION_ID};
-use super::request::Rejection;
+use super::headers::strip_hop_by_hop;
+use super::request::{ParsedRequest, Rejection};
 use super::Server;
 use crate::relay::ResponseBody;
 use crate::socket::{PeerHandle, Presence, Probe, Socket};
@@ -45,7 +45,7 @@
         }
         let is_http_11 = request.version() == Version::HTTP_11;
         let probe = if is_http_11 { Probe::InterimResponse } else { Probe::StatusLineByte };
-        let mut parsed = match self.parse_request(request, received_at).await {
+        let ParsedRequest { id, mut incoming } = match self.parse_request(request, received_at).await {
             Ok(parsed) => parsed,
             Err(Rejection { status, reason }) => {
                 let mut response = reject(status, reason);
@@ -57,21 +57,20 @@
         };
         // Nodes and the retry records identify a request by its id. A second open request with the same id
         // comes from another client, and must not interfere with the first.
-        let id = parsed.job.headers[CORRELATION_ID].clone();
         if !self.open_request_ids.borrow_mut().insert(id.clone()) {
             return reject(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
         }
         let open_id = OpenRequestId { server: self.clone(), id };
-        let is_head = parsed.job.method == Method::HEAD;
+        let is_head = incoming.job.method == Method::HEAD;
         // A client that closed its sending side before its request was read may have disconnected long ago,
         // and an attempt would then be sent for nobody.
         let probe_time =
-            Duration::from_nanos(parsed.request.remaining / PRESENCE_PROBE_DIVISOR).min(MAX_PRESENCE_PROBE);
+            Duration::from_nanos(incoming.request.remaining / PRESENCE_PROBE_DIVISOR).min(MAX_PRESENCE_PROBE);
         if socket.presence(probe, probe_time).await == Presence::Gone {
             return client_gone();
         }
-        parsed.job.client_handle = Some(PeerHandle::new(socket, probe, probe_time));
-        let mut ticket = self.engine.submit(parsed);
+        incoming.job.client_handle = Some(PeerHandle::new(socket, probe, probe_time));
+        let mut ticket = self.engine.submit(incoming);
         let mut response = tokio::select! {
             biased;
             answer = ticket.answer() => to_response(answer, is_head),
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -1,6 +1,6 @@
 //! Parses a client request for the engine, or rejects it.
 
-use super::headers::{strip_hop_by_hop, CORRELATION_ID};
+use super::headers::{strip_hop_by_hop, CORRELATION_ID, IDEMPOTENCY_KEY};
 use super::Server;
 use crate::duration::nanos;
 use crate::time_left::TIME_LEFT;
@@ -17,7 +17,6 @@
 
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
 const RETRY_MARK: HeaderName = HeaderName::from_static("x-repeat");
-const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 /// Maximum length of a request id, in bytes.
 const MAX_ID_BYTES: usize = 128;
 /// Maximum value of the time-left header, in seconds. Larger values count as this.
@@ -55,8 +54,16 @@
     }
 }
 
+/// A request that may be submitted to the engine.
+pub(super) struct ParsedRequest {
+    /// The id that the client chose.
+    pub(super) id: HeaderValue,
+    pub(super) incoming: IncomingRequest<Job>,
+}
+
 /// The checked head of a request.
 struct CheckedHead {
+    id: HeaderValue,
     class: usize,
     write: bool,
     time_left: Nanos,
@@ -69,7 +76,7 @@
         &self,
         request: Request<Incoming>,
         mut received_at: Instant,
-    ) -> Result<IncomingRequest<Job>, Rejection> {
+    ) -> Result<ParsedRequest, Rejection> {
         let (head, body) = request.into_parts();
         let checked = self.check_head(&head)?;
         let body = upload::read(body, checked.write, &self.budget).await?;
@@ -84,7 +91,8 @@
         // The forwarded request gets the actual length of the body.
         headers.remove(header::CONTENT_LENGTH);
         let job = Job { method: head.method, uri, headers, body, client_handle: None };
-        Ok(IncomingRequest { request, job, received_at: received_at.into_std() })
+        let incoming = IncomingRequest { request, job, received_at: received_at.into_std() };
+        Ok(ParsedRequest { id: checked.id, incoming })
     }
 
     /// Checks the head of a request, before its body is read.
@@ -107,9 +115,8 @@
             }
         };
         let id = single_value(head, &CORRELATION_ID, "more than one X-Correlation-Id")?;
-        if !id.is_some_and(is_valid_id) {
-            return Err(Rejection::bad_request("no X-Correlation-Id, or a bad one"));
-        }
+        let id = id.filter(|id| is_valid_id(id));
+        let id = id.ok_or(Rejection::bad_request("no X-Correlation-Id, or a bad one"))?.clone();
         let idempotency_key = single_value(head, &IDEMPOTENCY_KEY, "more than one Idempotency-Key")?;
         if write
             && settings.idempotency == Idempotency::WithKey
@@ -117,7 +124,7 @@
         {
             return Err(Rejection::bad_request("no Idempotency-Key"));
         }
-        Ok(CheckedHead { class, write, time_left })
+        Ok(CheckedHead { id, class, write, time_left })
     }
 
     /// Returns the request for the engine. Called once the body has been read.
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -62,6 +62,33 @@
     assert!(r.cache.no_new_connection() && r.origin.no_new_connection());
 }
 
+/// Guards against a `Connection` header that takes the id or the key of a write off the forwarded request: a
+/// node can't tell a repetition without its key, and the proxy panicked without the id.
+#[test]
+fn the_id_and_the_key_are_forwarded_although_connection_names_them() {
+    let r = rig();
+    let options = [
+        "Connection: Idempotency-Key\r\n",
+        "Connection: X-Correlation-Id\r\n",
+        "connection: keep-alive, x-correlation-id , IDEMPOTENCY-KEY\r\n",
+        "Connection: Idempotency-Key\r\nX-Other: 1\r\nConnection: X-Correlation-Id, X-Other\r\n",
+    ];
+    for (n, options) in options.iter().enumerate() {
+        let mut client = r.proxy.client();
+        client.write(&format!(
+            "PUT /set/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: named-{n}\r\nIdempotency-Key: key-{n}\r\n\
+             {options}Content-Length: 1\r\n\r\nx"
+        ));
+        let mut node = r.origin.take();
+        let request = node.request();
+        assert_eq!(request.header("x-correlation-id"), Some(format!("named-{n}").as_str()), "{options}");
+        assert_eq!(request.header("idempotency-key"), Some(format!("key-{n}").as_str()), "{options}");
+        assert_eq!((request.header("connection"), request.header("x-other")), (None, None), "{options}");
+        node.reply("200 OK", "Connection: close\r\n", "stored");
+        assert_eq!(client.answer().body, b"stored", "{options}");
+    }
+}
+
 #[test]
 fn a_stalled_body_times_out() {
     let r = rig();
