Fix: the shutdown no longer waits without a limit for a connection to get its place

Cause: shut_down admits accepted connections before it looks at the time limit at which it disconnects the remaining clients, and admit waits until a place is free. Dead connections made that wait endless; answers that go on do the same without any panic.

Fix: the time limit covers the admissions as well.

--- a/crates/proxy/src/front/shutdown.rs
+++ b/crates/proxy/src/front/shutdown.rs
@@ -39,24 +39,34 @@
         // shortened. Earlier ones keep their deadlines: requests left unanswered at the exit don't count as
         // errors.
         self.kill_deadline.set(Some(start + longest_deadline.min(MAX_DEADLINE) + ANSWER_MARGIN));
-        let mut accept_until = start + MIN_ACCEPT_TIME;
-        self.admit().await;
-        if !handed_over {
-            while let Ok(accepted) =
-                timeout_at(accept_until.min(start + MAX_ACCEPT_TIME), listener.accept()).await
-            {
-                self.handle_accept(accepted).await;
-                accept_until = accept_until.max(Instant::now() + ACCEPT_QUIET_TIME);
-            }
-        }
-        drop(listener);
         let disconnect_at = start + longest_deadline + EXIT_MARGIN;
         let exit_by = start + max_shutdown_time(longest_deadline);
-        if timeout_at(disconnect_at, self.clients.all_closed()).await.is_err() {
+        let all_served = async {
+            self.accept_remaining(listener, start, handed_over).await;
+            self.clients.all_closed().await;
+        };
+        // A connection may wait for its admission for as long as others take all descriptors.
+        if timeout_at(disconnect_at, all_served).await.is_err() {
             tracing::warn!("shutdown: time limit reached with clients still connected");
         }
         exit_by
     }
+
+    /// Admits the connections that still arrive after `start`, when the shutdown began, then closes the
+    /// listener. On a socket that was handed over only the connection that was accepted before is admitted.
+    async fn accept_remaining(self: &Rc<Self>, listener: TcpListener, start: Instant, handed_over: bool) {
+        self.admit().await;
+        if handed_over {
+            return;
+        }
+        let mut accept_until = start + MIN_ACCEPT_TIME;
+        while let Ok(accepted) =
+            timeout_at(accept_until.min(start + MAX_ACCEPT_TIME), listener.accept()).await
+        {
+            self.handle_accept(accepted).await;
+            accept_until = accept_until.max(Instant::now() + ACCEPT_QUIET_TIME);
+        }
+    }
 }
 
 /// Returns the time from SIGTERM by which a process must have exited, for this longest deadline.
--- a/crates/proxy/tests/endings.rs
+++ b/crates/proxy/tests/endings.rs
@@ -131,3 +131,36 @@
         assert_eq!((answer.status(), answer.header("retry-after").is_some()), (503, allowed));
     }
 }
+
+/// Guards against a shutdown that waits without a limit for the admission of a connection while others take all
+/// descriptors: the process would be killed instead of ending within its time.
+#[test]
+fn a_connection_that_waits_for_capacity_does_not_hold_up_the_end_of_the_process() {
+    let (cache, discovery) = (Server::new(), Server::new());
+    let mut settings = config(discovery.addr, &[member("c1", cache.addr, "std", "ready")]);
+    settings["limits"]["sockets"] = json!(64);
+    for class in settings["settings"]["categories"].as_array_mut().expect("classes") {
+        class["deadline_ns"] = json!(1_000_000_000u64);
+        class["promise_ns"] = json!(500_000_000u64);
+    }
+    let mut proxy = Proxy::new(&settings);
+    // Answers that never end take the whole capacity; the last connection waits for a place.
+    let (mut clients, mut nodes) = (Vec::new(), Vec::new());
+    loop {
+        let mut client = proxy.client();
+        client.ask("order", "");
+        clients.push(client);
+        let Ok(stream) = cache.accepted.recv_timeout(Duration::from_millis(500)) else { break };
+        let mut node = Peer::new(stream);
+        node.request();
+        node.write("HTTP/1.1 200 OK\r\nX-Lookup: hit\r\nContent-Length: 30000000\r\n\r\nbegin");
+        nodes.push(node);
+    }
+    assert_eq!(nodes.len() + 1, clients.len());
+    proxy.signal("-TERM");
+    until("it has ended", || {
+        // Each answer goes on; a node that can't be written to belongs to a connection that has ended.
+        nodes.retain_mut(|node| node.0.get_mut().write_all(b"x").is_ok());
+        proxy.child.try_wait().expect("a state").is_some_and(|status| status.success())
+    });
+}
