Fix: the time of a request counts from the arrival of its last byte, read or not

Cause: a body over 64 KiB is streamed, and its time began when hyper read the last byte. While the node takes nothing hyper reads nothing, so the byte stays in the kernel's receive buffer and no limit starts.

Fix: the time counts from the arrival (body_arrival.rs). unread_body.rs knows what a body still lacks, by length or by the chunks read so far, and a request's task compares that with the receive queue every 10 ms. The receive buffer of a streamed chunked body is bounded, so that unread chunks can be searched for the end.

--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -1,10 +1,12 @@
 //! Responds to each client request with exactly one final answer.
 
+use super::client::Client;
 use super::headers::strip_hop_by_hop;
 use super::request::{ParsedRequest, Rejection};
 use super::Server;
+use crate::body_arrival::BodyArrival;
 use crate::relay::ResponseBody;
-use crate::socket::{PeerHandle, Presence, Probe, Socket};
+use crate::socket::{PeerHandle, Presence, Probe};
 use crate::upstream::UpstreamResponse;
 use aniseyoke_core::Answer;
 use hyper::body::{Bytes, Incoming};
@@ -32,12 +34,12 @@
 }
 
 impl Server {
-    /// Serves a request that was received on `socket`.
+    /// Serves a request that was received from `client`.
     pub(super) async fn respond(
         self: &Rc<Self>,
         request: Request<Incoming>,
         received_at: Instant,
-        socket: &Rc<Socket>,
+        client: &Client,
     ) -> Response<ResponseBody> {
         if request.uri().path() == "/_health" {
             let ready = !self.drain.is_active() && self.engine.can_serve();
@@ -45,7 +47,15 @@
         }
         let is_http_11 = request.version() == Version::HTTP_11;
         let probe = if is_http_11 { Probe::InterimResponse } else { Probe::StatusLineByte };
-        let ParsedRequest { id, mut incoming } = match self.parse_request(request, received_at).await {
+        let socket = &client.socket;
+        let arrival = Rc::<BodyArrival>::default();
+        let mut body_watch = std::pin::pin!(client.watch_body(&arrival));
+        let parsed = tokio::select! {
+            biased;
+            parsed = self.parse_request(request, received_at, &arrival) => parsed,
+            never = &mut body_watch => match never {},
+        };
+        let ParsedRequest { id, mut incoming } = match parsed {
             Ok(parsed) => parsed,
             Err(Rejection { status, reason }) => {
                 let mut response = reject(status, reason);
@@ -55,6 +65,11 @@
                 return response;
             }
         };
+        // Keeps what may arrive unread within the bytes that are searched for the end of the body.
+        let is_streamed = incoming.job.body.upload().is_some();
+        if is_streamed && client.heads.unread_body.borrow().is_chunked() {
+            socket.prepare_for_streaming();
+        }
         // Nodes and the retry records identify a request by its id. A second open request with the same id
         // comes from another client, and must not interfere with the first.
         if !self.open_request_ids.borrow_mut().insert(id.clone()) {
@@ -74,6 +89,7 @@
         let mut response = tokio::select! {
             biased;
             answer = ticket.answer() => to_response(answer, is_head),
+            never = &mut body_watch => match never {},
             () = socket.closed_by_peer(probe) => client_gone(),
         };
         if response.body().is_streamed() {
--- a/crates/proxy/src/front/client.rs
+++ b/crates/proxy/src/front/client.rs
@@ -4,6 +4,7 @@
 use super::close::{CloseReason, CloseStep, ConnectionEnd, EndCause};
 use super::head_reader::{HeadProgress, HeadReader};
 use super::Server;
+use crate::body_arrival::BodyArrival;
 use crate::descriptors::DescriptorPermit;
 use crate::drain::Drain;
 use crate::socket::Socket;
@@ -20,7 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 /// A new connection is closed if its first request head is not complete within this time. Regular clients
 /// take up to 2 s for a head, and a silent connection must be closed within 3 s.
@@ -35,6 +36,8 @@
 const STREAM_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// A connection without a request for this time is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Interval of the checks whether the rest of a body has arrived that is not being read.
+const BODY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A client connection.
 pub struct Client {
@@ -116,6 +119,19 @@
             && now.saturating_duration_since(self.idle_since.get()) > ANSWER_READ_TIMEOUT
     }
 
+    /// Records in `arrival` when the last byte of the body of the request in progress has arrived, whether or
+    /// not it is read; never returns.
+    pub async fn watch_body(&self, arrival: &BodyArrival) -> Infallible {
+        while arrival.at().is_none() {
+            if self.heads.unread_body.borrow_mut().has_arrived(&self.socket) {
+                arrival.record();
+            } else {
+                sleep(BODY_CHECK_INTERVAL).await;
+            }
+        }
+        std::future::pending().await
+    }
+
     /// Whether a part of a further request head has been read.
     fn has_partial_head(&self) -> bool {
         self.heads.partial_since.get().is_some()
@@ -225,7 +241,7 @@
                 async move {
                     let mut response = match rejection {
                         Some(reason) => reject(StatusCode::BAD_REQUEST, reason),
-                        None => server.respond(request, received_at, &client.socket).await,
+                        None => server.respond(request, received_at, client).await,
                     };
                     // Close to the connection limit, a descriptor is worth more to the next client than to
                     // one that already has its answer.
--- a/crates/proxy/src/front/head_reader.rs
+++ b/crates/proxy/src/front/head_reader.rs
@@ -1,9 +1,10 @@
 //! Passes the bytes of a client to hyper one request at a time, and checks each request head before hyper
 //! reads it.
 
+use super::unread_body::UnreadBody;
 use crate::socket::{Io, Socket};
 use crate::MAX_READ_BUFFER_BYTES;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -43,6 +44,8 @@
     /// Whether the last complete head states no length for its body, so that no further input is parsed as a
     /// head.
     pub unbounded_body: Cell<bool>,
+    /// What is still to be read of the body that follows the last complete head.
+    pub unread_body: RefCell<UnreadBody>,
     /// How the input ended, once the end has been read.
     pub input_end: Cell<Option<InputEnd>>,
 }
@@ -105,8 +108,15 @@
         self.heads.rejection.set(rejection);
         self.heads.unbounded_body.set(chunked);
         let body = content_length.map_or(Some(0), |v| std::str::from_utf8(v).ok()?.parse::<u64>().ok());
-        let request =
-            body.filter(|_| !chunked && rejection.is_none()).and_then(|body| length.checked_add(body));
+        let body = body.filter(|_| rejection.is_none());
+        let mut unread_body = match body {
+            Some(_) if chunked => UnreadBody::chunked(),
+            Some(body) => UnreadBody::Length(body),
+            None => UnreadBody::Unknown,
+        };
+        unread_body.read(&self.buffer[length as usize..]);
+        self.heads.unread_body.replace(unread_body);
+        let request = body.filter(|_| !chunked).and_then(|body| length.checked_add(body));
         Some(request.unwrap_or(UNLIMITED))
     }
 }
@@ -141,7 +151,9 @@
         }
         let limit = buf.remaining().min(usize::try_from(this.forwardable).unwrap_or(usize::MAX));
         let n = if this.buffer.is_empty() {
-            let n = ready!(this.poll_input(cx, buf.initialize_unfilled_to(limit)))?;
+            let unfilled = buf.initialize_unfilled_to(limit);
+            let n = ready!(this.poll_input(cx, unfilled))?;
+            this.heads.unread_body.borrow_mut().read(&unfilled[..n]);
             buf.advance(n);
             n
         } else {
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -4,11 +4,13 @@
 //! - `accept` admits connections and selects the one to close when descriptors run out;
 //! - `client` serves a connection, `head_reader` checks its request heads before hyper reads them, and `close`
 //!   describes its end; `clients` is the registry of the open connections;
+//! - `unread_body` tells whether the rest of a body has arrived, with `chunked_end` for chunked ones;
 //! - `request` parses a request, and `answer` responds to it;
 //! - `resources` has the limits of the process, and `shutdown` the graceful shutdown.
 
 mod accept;
 mod answer;
+mod chunked_end;
 mod client;
 mod clients;
 mod close;
@@ -20,6 +22,7 @@
 mod shutdown;
 mod startup;
 mod tasks;
+mod unread_body;
 
 pub use error::StartError;
 
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -2,6 +2,7 @@
 
 use super::headers::{strip_hop_by_hop, CORRELATION_ID, IDEMPOTENCY_KEY};
 use super::Server;
+use crate::body_arrival::BodyArrival;
 use crate::duration::nanos;
 use crate::time_left::TIME_LEFT;
 use crate::upload;
@@ -12,6 +13,7 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
+use std::rc::Rc;
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -71,17 +73,18 @@
 
 impl Server {
     /// Parses a request whose head was received at `received_at`, and reads its body. The time left counts
-    /// from the last byte of the request.
+    /// from the last byte of the request, whose arrival is recorded in `arrival`.
     pub(super) async fn parse_request(
         &self,
         request: Request<Incoming>,
         mut received_at: Instant,
+        arrival: &Rc<BodyArrival>,
     ) -> Result<ParsedRequest, Rejection> {
         let (head, body) = request.into_parts();
         let checked = self.check_head(&head)?;
-        let body = upload::read(body, checked.write, &self.budget).await?;
+        let body = upload::read(body, checked.write, &self.budget, arrival).await?;
         if !body.is_empty() {
-            received_at = Instant::now();
+            received_at = arrival.at().unwrap_or_else(Instant::now);
         }
         let request = self.engine_request(&head, &checked, received_at);
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod admin;
 mod background_writer;
 mod bind;
+mod body_arrival;
 mod budget;
 pub mod cli;
 pub mod config;
--- a/crates/proxy/src/socket/mod.rs
+++ b/crates/proxy/src/socket/mod.rs
@@ -15,9 +15,10 @@
 use crate::KERNEL_BUFFER_BYTES;
 use aniseyoke_sockets::uninterrupted;
 use presence::PeerState;
+use rustix::net::{recv, RecvFlags};
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::io::{ErrorKind, Result};
+use std::io::{Error, ErrorKind, Result};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::rc::Rc;
@@ -25,9 +26,6 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// The most unread bytes that are counted.
-const MAX_COUNTED_UNREAD: usize = 4 << 10;
-
 /// A check right before the first byte of a message is written.
 pub trait FirstWriteCheck {
     /// Returns how much time the message has left; `None` if it must no longer be written.
@@ -120,10 +118,19 @@
         self.peek_byte().is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
     }
 
-    /// Returns the number of received bytes that are unread, up to [`MAX_COUNTED_UNREAD`].
+    /// Returns the number of received bytes that are unread; 0 if the kernel does not tell.
     pub fn unread_bytes(&self) -> usize {
-        let mut buffer = [MaybeUninit::uninit(); MAX_COUNTED_UNREAD];
-        uninterrupted(|| SockRef::from(&self.stream).peek(&mut buffer)).unwrap_or(0)
+        let unread = rustix::io::ioctl_fionread(&self.stream).unwrap_or(0);
+        usize::try_from(unread).unwrap_or(usize::MAX)
+    }
+
+    /// Returns at most `length` unread bytes, which stay unread.
+    pub fn peek(&self, length: usize) -> Vec<u8> {
+        let mut bytes = vec![0; length];
+        let peeked =
+            uninterrupted(|| recv(&self.stream, &mut bytes[..], RecvFlags::PEEK).map_err(Error::from));
+        bytes.truncate(peeked.map_or(0, |(_, length)| length));
+        bytes
     }
 
     /// Sends a complete text while nothing else is being sent. If the socket can't accept it, it is dropped.
--- a/crates/proxy/src/socket/presence.rs
+++ b/crates/proxy/src/socket/presence.rs
@@ -6,10 +6,8 @@
 
 use super::Socket;
 use aniseyoke_sockets::{is_transient_shortage, uninterrupted};
-use socket2::SockRef;
 use std::cell::Cell;
 use std::io::ErrorKind;
-use std::mem::MaybeUninit;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::io::Interest;
@@ -236,8 +234,7 @@
 
     /// Whether so many bytes are unread that the peer's end of sending may not have been received.
     fn window_may_be_full(&self) -> bool {
-        let mut buffer = [MaybeUninit::uninit(); FULL_WINDOW];
-        uninterrupted(|| SockRef::from(&self.stream).peek(&mut buffer)).is_ok_and(|n| n == FULL_WINDOW)
+        self.unread_bytes() >= FULL_WINDOW
     }
 
     /// Sends a probe, which a waiting peer ignores; returns false if the connection no longer accepts bytes.
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -1,5 +1,6 @@
 //! The body of a client's request: buffered if it is small, else streamed to the node as it is received.
 
+use super::body_arrival::BodyArrival;
 use super::budget::{Budget, Reservation};
 use super::{MAX_BUFFERED_BODY_BYTES, MAX_STREAMED_BODY_BYTES};
 use http_body_util::{BodyExt, Full};
@@ -12,7 +13,6 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
-use tokio::sync::Notify;
 use tokio::time::{sleep, timeout, Instant, Sleep};
 
 /// A client that sends no data for this long in the middle of a body has stalled.
@@ -63,13 +63,6 @@
         }
     }
 
-    /// Waits until the client's last byte has been received.
-    pub async fn wait_received(&self) {
-        if let Payload::Streamed(upload) = self {
-            upload.wait_received().await;
-        }
-    }
-
     pub fn upload(&self) -> Option<&Rc<Upload>> {
         match self {
             Payload::Buffered { .. } => None,
@@ -92,11 +85,13 @@
 }
 
 /// Reads a body: to its end if it is small, else up to the point where it has to be streamed. Accepts up to
-/// [`MAX_STREAMED_BODY_BYTES`] with `allow_large`, else up to [`MAX_BUFFERED_BODY_BYTES`].
+/// [`MAX_STREAMED_BODY_BYTES`] with `allow_large`, else up to [`MAX_BUFFERED_BODY_BYTES`]. Its end is recorded in
+/// `arrival`.
 pub async fn read(
     mut body: Incoming,
     allow_large: bool,
     budget: &Rc<Budget>,
+    arrival: &Rc<BodyArrival>,
 ) -> Result<Payload, UploadError> {
     let size = body.size_hint();
     let max_length = if allow_large { MAX_STREAMED_BODY_BYTES } else { MAX_BUFFERED_BODY_BYTES as u64 };
@@ -104,6 +99,7 @@
         return Err(UploadError::TooLarge);
     }
     if body.is_end_stream() {
+        arrival.record();
         return Ok(Payload::empty());
     }
     let reserved_bytes = size
@@ -142,13 +138,12 @@
             length: size.exact(),
             read_ahead: RefCell::new(Some((read_ahead.into(), reservation))),
             rest: RefCell::new(Some((body, rate))),
-            received_all: Cell::new(false),
+            arrival: arrival.clone(),
             failed: Cell::new(false),
-            received_signal: Notify::new(),
-            callback: RefCell::default(),
         };
         return Ok(Payload::Streamed(Rc::new(upload)));
     }
+    arrival.record();
     reservation.shrink(read_ahead.len());
     Ok(Payload::Buffered { bytes: read_ahead.into(), _reservation: Some(reservation) })
 }
@@ -160,12 +155,8 @@
     read_ahead: RefCell<Option<(Bytes, Reservation)>>,
     /// The rest of the body; taken by the first attempt that reads further.
     rest: RefCell<Option<(Incoming, ReceiveRate)>>,
-    received_all: Cell<bool>,
+    arrival: Rc<BodyArrival>,
     failed: Cell<bool>,
-    /// Signalled once the client's last byte has been received.
-    received_signal: Notify,
-    /// Called once the client's last byte has been received.
-    callback: RefCell<Option<Box<dyn FnOnce()>>>,
 }
 
 impl Upload {
@@ -182,16 +173,9 @@
         })
     }
 
-    /// Registers a callback for when the client's last byte has been received.
-    pub fn on_received(&self, callback: impl FnOnce() + 'static) {
-        self.callback.replace(Some(Box::new(callback)));
-    }
-
-    /// Waits until the client's last byte has been received.
-    pub async fn wait_received(&self) {
-        while !self.received_all.get() {
-            self.received_signal.notified().await;
-        }
+    /// Returns the arrival of the client's last byte.
+    pub fn arrival(&self) -> &Rc<BodyArrival> {
+        &self.arrival
     }
 
     /// Whether the rest of the body could not be received from the client.
@@ -233,14 +217,14 @@
             rate.waited += self.wait_start.take().map_or(Duration::ZERO, |start| start.elapsed());
             let data = match frame {
                 None => {
-                    self.upload.end();
+                    self.upload.arrival.record();
                     return Poll::Ready(None);
                 }
                 Some(Err(_)) => return Poll::Ready(Some(Err(UploadError::Broken))),
                 Some(Ok(frame)) => frame.into_data(),
             };
             if rest.is_end_stream() {
-                self.upload.end();
+                self.upload.arrival.record();
             }
             let Ok(data) = data else { continue };
             rate.received += data.len() as u64;
@@ -253,17 +237,6 @@
     }
 }
 
-impl Upload {
-    fn end(&self) {
-        self.received_all.set(true);
-        self.received_signal.notify_waiters();
-        let callback = self.callback.take();
-        if let Some(callback) = callback {
-            callback();
-        }
-    }
-}
-
 impl Body for UploadBody {
     type Data = Bytes;
     type Error = io::Error;
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -15,7 +15,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, sleep_until, Instant};
+use tokio::time::{sleep_until, Instant};
 
 /// The maximum number of bytes received in answer to a request. Eight times the largest buffered body leaves
 /// room for the body's framing and for interim answers before it. Hyper reads on as long as interim answers
@@ -30,8 +30,8 @@
     pub(super) server: ServerId,
     pub(super) job: &'a Job,
     /// The deadline for writing the first byte of the request, and for the attempt. An attempt with a
-    /// streamed body instead ends [`Attempt::time_limit`] after the body's last byte was received from the
-    /// client.
+    /// streamed body instead ends [`Attempt::time_limit`] after the body's last byte arrived, if that is
+    /// later.
     pub(super) deadline: Instant,
     /// The total time allowed.
     pub(super) time_limit: Duration,
@@ -66,7 +66,7 @@
 
 impl Attempt<'_> {
     /// Makes the attempt. It ends at its deadline or, if the body is streamed, `time_limit` after the body's
-    /// last byte was received.
+    /// last byte arrived.
     pub(super) async fn run(&self) -> Outcome {
         tokio::select! {
             // `never_sent` resolves when the engine forbids writing before the request was fully written. As
@@ -90,8 +90,8 @@
             match self.job.body.upload() {
                 None => sleep_until(self.deadline).await,
                 Some(upload) => {
-                    upload.wait_received().await;
-                    sleep(self.time_limit).await;
+                    let arrived_at = upload.arrival().wait().await;
+                    sleep_until(self.deadline.max(arrived_at + self.time_limit)).await;
                 }
             }
         };
--- a/crates/proxy/src/upstream/job.rs
+++ b/crates/proxy/src/upstream/job.rs
@@ -4,7 +4,7 @@
 use crate::socket::{PeerHandle, Presence};
 use crate::upload::Payload;
 use hyper::{HeaderMap, Method, Uri};
-use std::rc::Weak;
+use std::rc::{Rc, Weak};
 use tokio::time::Instant;
 
 /// A client's request as it is forwarded to any node.
@@ -52,21 +52,21 @@
     }
 
     fn body_pending(&self) -> bool {
-        self.body.upload().is_some()
+        self.body.upload().is_some_and(|upload| upload.arrival().at().is_none())
     }
 
     fn on_body_received(&self, callback: impl FnOnce() + 'static) {
         if let Some(upload) = self.body.upload() {
-            upload.on_received(callback);
+            upload.arrival().on_arrival(callback);
         }
     }
 
-    /// Keeps only the upload alive: keeping the job would also keep the client connection that its body
+    /// Keeps only the arrival alive: keeping the job would also keep the client connection that its body
     /// belongs to.
     async fn body_received(job: Weak<Job>) {
-        let Some(upload) = job.upgrade().map(|job| job.body.upload().cloned()) else { return };
-        if let Some(upload) = upload {
-            upload.wait_received().await;
+        let arrival = |job: Rc<Job>| job.body.upload().map(|upload| upload.arrival().clone());
+        if let Some(arrival) = job.upgrade().and_then(arrival) {
+            arrival.wait().await;
         }
     }
 }
--- /dev/null
+++ b/crates/proxy/tests/uploads.rs
@@ -0,0 +1,90 @@
+//! The time limits of requests with a body: they count from the arrival of its last byte at the proxy's
+//! machine, whatever the proxy and the node have read of it.
+
+mod rig;
+
+use rig::*;
+use socket2::{Domain, Socket, Type};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+/// How long the clients wait for their answers, in seconds.
+const TIME_LEFT: f64 = 1.2;
+/// An answer that comes later than this after the client's time is a lost request.
+const SLACK: Duration = Duration::from_millis(550);
+
+/// Returns the number of bytes sent on a connection that the peer's machine has not acknowledged yet.
+fn unacknowledged(stream: &TcpStream) -> usize {
+    let Ok(SocketAddr::V4(local)) = stream.local_addr() else { panic!("no address") };
+    let port = format!(":{:04X}", local.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the connections");
+    let fields = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let own = fields.into_iter().find(|fields| fields.get(1).is_some_and(|addr| addr.ends_with(&port)));
+    let queues = own.expect("the connection")[4];
+    usize::from_str_radix(queues.split(':').next().expect("a queue"), 16).expect("a number")
+}
+
+/// Waits until the peer's machine has acknowledged all that was sent; returns when it had.
+fn arrival(stream: &TcpStream) -> Instant {
+    until("the last byte has arrived", || unacknowledged(stream) == 0);
+    Instant::now()
+}
+
+/// Returns a write with this body; `framing` is the header that tells its length.
+fn put(id: &str, framing: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "PUT /order/1 HTTP/1.1\r\nHost: a\r\nX-Correlation-Id: {id}\r\nX-Time-Left: {TIME_LEFT}\r\n\
+         {framing}\r\n\r\n"
+    );
+    [head.as_bytes(), body].concat()
+}
+
+/// Returns a write with a body of `length` bytes, chunked or with its length in the head.
+fn upload(id: &str, length: usize, chunked: bool) -> Vec<u8> {
+    let body = vec![b'x'; length];
+    if !chunked {
+        return put(id, &format!("Content-Length: {length}"), &body);
+    }
+    let chunks: Vec<_> = body
+        .chunks(10_000)
+        .map(|chunk| [format!("{:x}\r\n", chunk.len()).as_bytes(), chunk, b"\r\n"].concat())
+        .collect();
+    put(id, "Transfer-Encoding: chunked", &[&chunks.concat()[..], b"0\r\n\r\n"].concat())
+}
+
+/// Returns a listener whose connections receive few bytes while nothing is read from them, and its address.
+fn slow_reader() -> (TcpListener, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_recv_buffer_size(4096).expect("a small buffer");
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("bound");
+    socket.listen(8).expect("listening");
+    let listener = TcpListener::from(socket);
+    let addr = listener.local_addr().expect("an address");
+    (listener, addr)
+}
+
+/// Guards against time limits that begin only once the proxy has read the last byte, which does not happen
+/// while the node reads nothing.
+#[test]
+fn an_upload_that_has_arrived_is_answered_in_time_although_its_node_reads_nothing() {
+    // More than the proxy can write to the node, and less than that and what fits into its own receive buffer.
+    const LENGTH: usize = 260 << 10;
+    for chunked in [false, true] {
+        let (origin, origin_addr) = slow_reader();
+        let discovery = Server::new();
+        let proxy = Proxy::new(&config(discovery.addr, &[member("o1", origin_addr, "origin", "ready")]));
+        let mut client = proxy.client();
+        client.0.get_mut().write_all(&upload("stalled", LENGTH, chunked)).expect("written");
+        let arrived = arrival(client.0.get_ref());
+        let mut node = Peer::new(origin.accept().expect("a connection").0);
+        let answer = client.answer();
+        let waited = arrived.elapsed();
+        assert!(matches!(answer.status(), 502..=504), "{}", answer.line);
+        assert!(waited < Duration::from_secs_f64(TIME_LEFT) + SLACK, "chunked {chunked}: {waited:?}");
+        // The write was given up, so its last byte must not reach the node any more.
+        let mut received = Vec::new();
+        let _ = node.0.read_to_end(&mut received);
+        assert!(received.len() < LENGTH, "chunked {chunked}: all was sent");
+    }
+}
