--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -14,6 +14,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, StatusCode};
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::time::Instant;
 
@@ -82,7 +83,9 @@
     ) -> Result<ParsedRequest, Rejection> {
         let (head, body) = request.into_parts();
         let checked = self.check_head(&head)?;
-        let body = upload::read(body, checked.write, &self.budget, arrival).await?;
+        let body =
+            upload::read(body, checked.write, &self.budget, arrival, Duration::from_nanos(checked.time_left))
+                .await?;
         if !body.is_empty() {
             received_at = arrival.at().unwrap_or_else(Instant::now);
         }
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -86,12 +86,14 @@
 
 /// Reads a body: to its end if it is small, else up to the point where it has to be streamed. Accepts up to
 /// [`MAX_STREAMED_BODY_BYTES`] with `allow_large`, else up to [`MAX_BUFFERED_BODY_BYTES`]. Its end is recorded in
-/// `arrival`.
+/// `arrival`. Once that has come, the body waits for free bytes in the budget no longer than half of
+/// `time_left`, so that a client whose body finds no room has time to ask again.
 pub async fn read(
     mut body: Incoming,
     allow_large: bool,
     budget: &Rc<Budget>,
     arrival: &Rc<BodyArrival>,
+    time_left: Duration,
 ) -> Result<Payload, UploadError> {
     let size = body.size_hint();
     let max_length = if allow_large { MAX_STREAMED_BODY_BYTES } else { MAX_BUFFERED_BODY_BYTES as u64 };
@@ -106,10 +108,13 @@
         .exact()
         .map_or(MAX_BUFFERED_BODY_BYTES, |length| length.min(MAX_BUFFERED_BODY_BYTES as u64) as usize);
     let started_at = Instant::now();
+    let waits_too_long = || {
+        started_at.elapsed() > STALL_TIMEOUT || arrival.at().is_some_and(|at| at.elapsed() > time_left / 2)
+    };
     let mut reservation = loop {
         match budget.reserve(reserved_bytes) {
             Some(reservation) => break reservation,
-            None if started_at.elapsed() > STALL_TIMEOUT => return Err(UploadError::NoRoom),
+            None if waits_too_long() => return Err(UploadError::NoRoom),
             None => sleep(BUDGET_RETRY_INTERVAL).await,
         }
     };
--- a/crates/proxy/tests/uploads.rs
+++ b/crates/proxy/tests/uploads.rs
@@ -4,6 +4,7 @@
 mod rig;
 
 use rig::*;
+use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -88,3 +89,31 @@
         assert!(received.len() < LENGTH, "chunked {chunked}: all was sent");
     }
 }
+
+/// Guards against a body that waits for memory longer than its client waits for the answer, while clients that
+/// have stalled hold all of it.
+#[test]
+fn a_write_that_finds_no_memory_is_answered_in_time() {
+    /// With this limit, bodies of 256 KiB are buffered at once.
+    const MEMORY_MB: u64 = 9;
+    let (origin, discovery) = (Server::new(), Server::new());
+    let mut settings = config(discovery.addr, &[member("o1", origin.addr, "origin", "ready")]);
+    settings["limits"]["memory_mb"] = json!(MEMORY_MB);
+    let proxy = Proxy::new(&settings);
+    let mut stalled = Vec::new();
+    for n in 0..4 {
+        let mut client = proxy.client();
+        let framing = "Expect: 100-continue\r\nContent-Length: 65536";
+        client.0.get_mut().write_all(&put(&format!("stalled-{n}"), framing, b"")).expect("written");
+        // The body is asked for once it has its memory.
+        assert_eq!(client.read().expect("an interim answer").status(), 100);
+        stalled.push(client);
+    }
+    let mut client = proxy.client();
+    client.0.get_mut().write_all(&upload("whole", 60_000, false)).expect("written");
+    let arrived = arrival(client.0.get_ref());
+    let answer = client.answer();
+    let waited = arrived.elapsed();
+    assert_eq!(answer.status(), 503);
+    assert!(waited < Duration::from_secs_f64(TIME_LEFT) + SLACK, "{waited:?}");
+}
