Fix: a body that ends after SIGTERM is answered before the kill

Cause: the front applied the time until the kill as it read the head; a streamed body's time then counted anew from its end, in the core, which did not know of the kill. Fix: the engine knows the time by which requests must be answered whose last byte arrives from then on, and applies it on submission, at a body's end and in the guard of the answer. The front's state for it is gone.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -27,7 +27,7 @@
 use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc;
 
 /// Counts of attempts that wait for capacity at their nodes.
@@ -51,6 +51,8 @@
     counters: Arc<RequestCounters>,
     /// Whether discovery has reported a list since the start.
     list_received: Cell<bool>,
+    /// The time by which requests must be answered whose last byte arrives from now on, if there is one.
+    answer_by: Rc<Cell<Option<Instant>>>,
     weak_self: Weak<Engine<T>>,
 }
 
@@ -86,12 +88,24 @@
             seen_servers: RefCell::default(),
             counters: Arc::default(),
             list_received: Cell::new(false),
+            answer_by: Rc::default(),
             weak_self: weak_self.clone(),
         });
         engine.update_endpoints(ListKind::Cached, known);
         Ok(engine)
     }
 
+    /// Sets the time by which each request must be answered whose last byte arrives from now on.
+    pub fn set_answer_deadline(&self, deadline: Instant) {
+        self.answer_by.set(Some(deadline));
+    }
+
+    /// Returns how long requests may take whose last byte arrives at `now`, at most `time`.
+    fn limited_time(&self, time: Nanos, now: Instant) -> Nanos {
+        let left = |deadline: Instant| deadline.saturating_duration_since(now).as_nanos() as Nanos;
+        self.answer_by.get().map_or(time, |deadline| time.min(left(deadline)))
+    }
+
     /// Whether any node is ready to serve requests.
     pub fn can_serve(&self) -> bool {
         self.transport.any_ready()
--- a/crates/core/src/engine/requests.rs
+++ b/crates/core/src/engine/requests.rs
@@ -35,6 +35,7 @@
         let elapsed =
             if body_pending { Duration::ZERO } else { instant.saturating_duration_since(received_at) };
         let client_timeout = request.remaining.saturating_sub(elapsed.as_nanos() as Nanos);
+        let client_timeout = self.limited_time(client_timeout, instant);
         let margin = deadline_margin(client_timeout);
         request.remaining = client_timeout - margin;
         request.id = state.next_id;
@@ -56,7 +57,8 @@
         // A request that the decision module leaves unanswered fails when half of the margin is left.
         let time_limit = Duration::from_nanos(client_timeout - margin / 2);
         let engine = self.weak_self.clone();
-        PendingResponse { id, answer: Some(answer), time_limit, job: Rc::downgrade(&job), engine }
+        let answer_by = self.answer_by.clone();
+        PendingResponse { id, answer: Some(answer), time_limit, answer_by, job: Rc::downgrade(&job), engine }
     }
 
     fn open_request(
@@ -96,9 +98,10 @@
     /// now.
     fn body_received(&self, id: RequestId) {
         let state = &mut *self.state.borrow_mut();
-        let now = self.clock.now();
+        let (now, instant) = self.clock.read();
         let Some(request) = state.requests.get_mut(&id) else { return };
-        request.deadline = Some(now.saturating_add(request.client_timeout));
+        let time_left = self.limited_time(request.client_timeout, instant);
+        request.deadline = Some(now.saturating_add(time_left));
         for attempt in request.attempts.iter_mut().filter(|attempt| !attempt.has_ended()) {
             attempt.sent_at = now;
             if let AttemptPhase::InFlight { started_at, .. } = &mut attempt.phase {
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -221,6 +221,7 @@
         id: 1,
         answer: Some(answer),
         time_limit,
+        answer_by: Rc::default(),
         job: Rc::downgrade(&job),
         engine: Weak::<Engine<ManualTransport>>::new(),
     };
--- a/crates/core/src/pending_response.rs
+++ b/crates/core/src/pending_response.rs
@@ -2,8 +2,9 @@
 
 use crate::transport::{Job, Transport};
 use aniseyoke_decision::api::RequestId;
-use std::rc::Weak;
-use std::time::Duration;
+use std::cell::Cell;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
 use tokio::sync::oneshot;
 
 /// The final answer of a request.
@@ -32,6 +33,8 @@
     pub(crate) answer: Option<oneshot::Receiver<Answer<T::Reply>>>,
     /// Maximum wait after the last byte of the request was received.
     pub(crate) time_limit: Duration,
+    /// The time by which the answer is due if the last byte arrives after this was set.
+    pub(crate) answer_by: Rc<Cell<Option<Instant>>>,
     pub(crate) job: Weak<T::Job>,
     pub(crate) engine: Weak<dyn AbandonRequest>,
 }
@@ -42,7 +45,10 @@
         let Some(answer) = self.answer.as_mut() else { return Answer::TimedOut };
         let deadline = async {
             T::Job::body_received(self.job.clone()).await;
-            tokio::time::sleep(self.time_limit).await;
+            let until_due = |due: Instant| due.saturating_duration_since(Instant::now());
+            let time_limit =
+                self.answer_by.get().map_or(self.time_limit, |due| self.time_limit.min(until_due(due)));
+            tokio::time::sleep(time_limit).await;
         };
         let answer = tokio::select! {
             biased;
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -87,9 +87,6 @@
     pending_connection: RefCell<Option<(TcpStream, SocketAddr)>>,
     /// The ids of all requests in progress. The hash must be keyed, since clients choose the ids.
     open_request_ids: RefCell<HashSet<HeaderValue>>,
-    /// During shutdown, the time by which requests must be answered, since the process may be killed after
-    /// it.
-    kill_deadline: Cell<Option<Instant>>,
 }
 
 /// Options beyond the platform's configuration.
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -3,7 +3,6 @@
 use super::headers::{strip_hop_by_hop, CORRELATION_ID, IDEMPOTENCY_KEY};
 use super::Server;
 use crate::body_arrival::BodyArrival;
-use crate::duration::nanos;
 use crate::time_left::TIME_LEFT;
 use crate::upload;
 use crate::upstream::Job;
@@ -89,7 +88,7 @@
         if !body.is_empty() {
             received_at = arrival.at().unwrap_or_else(Instant::now);
         }
-        let request = self.engine_request(&head, &checked, received_at);
+        let request = self.engine_request(&head, &checked);
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = path.parse().map_err(|_| Rejection::bad_request("bad path"))?;
         let mut headers = head.headers;
@@ -133,20 +132,18 @@
         Ok(CheckedHead { id, class, write, time_left })
     }
 
-    /// Returns the request for the engine. Called once the body has been read.
-    fn engine_request(&self, head: &Parts, checked: &CheckedHead, received_at: Instant) -> api::Request {
+    /// Returns the request for the engine.
+    fn engine_request(&self, head: &Parts, checked: &CheckedHead) -> api::Request {
         let account = head.headers.get(ACCOUNT).and_then(|account| account.to_str().ok());
         let tenant = account.and_then(|account| self.names.tenants.iter().position(|name| name == account));
         let key = path_segments(head).skip(1).last().filter(|key| !key.is_empty());
-        let time_until_kill =
-            self.kill_deadline.get().map(|deadline| nanos(deadline.saturating_duration_since(received_at)));
         api::Request {
             id: 0,
             class: checked.class as u32,
             tenant: tenant.map(|tenant| tenant as u32),
             pool: None,
             key: key.map(parse_key),
-            remaining: time_until_kill.map_or(checked.time_left, |limit| limit.min(checked.time_left)),
+            remaining: checked.time_left,
             write: checked.write,
             retry: head.headers.get(RETRY_MARK).is_some_and(|value| value == "1"),
         }
--- a/crates/proxy/src/front/shutdown.rs
+++ b/crates/proxy/src/front/shutdown.rs
@@ -35,10 +35,11 @@
         let start = Instant::now();
         let longest_deadline = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
         let longest_deadline = Duration::from_nanos(longest_deadline);
-        // A request that arrives from now on may have a deadline after this process must have exited, and is
-        // shortened. Earlier ones keep their deadlines: requests left unanswered at the exit don't count as
-        // errors.
-        self.kill_deadline.set(Some(start + longest_deadline.min(MAX_DEADLINE) + ANSWER_MARGIN));
+        // A request whose last byte arrives from now on may have a deadline after this process must have exited,
+        // and is shortened. Earlier ones keep their deadlines: requests left unanswered at the exit don't count
+        // as errors.
+        let answer_by = start + longest_deadline.min(MAX_DEADLINE) + ANSWER_MARGIN;
+        self.engine.set_answer_deadline(answer_by.into_std());
         let disconnect_at = start + longest_deadline + EXIT_MARGIN;
         let exit_by = start + max_shutdown_time(longest_deadline);
         let all_served = async {
--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -98,7 +98,6 @@
         clients: Rc::default(),
         pending_connection: RefCell::default(),
         open_request_ids: RefCell::default(),
-        kill_deadline: Cell::new(None),
     });
     Ok(Parts { server, watcher, watch_requests })
 }
--- a/crates/proxy/tests/uploads.rs
+++ b/crates/proxy/tests/uploads.rs
@@ -117,3 +117,27 @@
     assert_eq!(answer.status(), 503);
     assert!(waited < Duration::from_secs_f64(TIME_LEFT) + SLACK, "{waited:?}");
 }
+
+/// Guards against a body that ends after SIGTERM, whose time reaches beyond the kill of the process.
+#[test]
+fn an_upload_that_ends_after_the_stop_signal_is_answered_before_the_process_may_be_killed() {
+    /// Time from the stop signal until the kill, as the longest deadline is 3 s or more.
+    const KILL_DELAY: Duration = Duration::from_millis(3700);
+    let mut r = rig();
+    let mut client = r.proxy.client();
+    let request = upload("restart", 200_000, false);
+    let request = String::from_utf8(request)
+        .expect("text")
+        .replace(&format!("X-Time-Left: {TIME_LEFT}"), "X-Time-Left: 50");
+    let (first, rest) = request.split_at(150_000);
+    client.write(first);
+    let _node = r.origin.take();
+    r.proxy.signal("-TERM");
+    let stopped = Instant::now();
+    r.proxy.logged("draining");
+    // A request that comes more than 0.7 s after the signal has to be answered.
+    std::thread::sleep(Duration::from_millis(800));
+    client.write(rest);
+    assert!(matches!(client.answer().status(), 502..=504));
+    assert!(stopped.elapsed() < KILL_DELAY, "{:?}", stopped.elapsed());
+}
