Fix: a connection is not reused while an upload is still to be sent on it

Cause: is_fully_written, set by each flush and taken back by nothing, was taken for the end of a streamed body, so the connection went to the pool and the next request waited in hyper. Fix: a request is written once its body has been read to its end and flushed; a further write takes the mark back; a connection answered early returns to the pool when hyper is ready again, while its client sends the rest as before.

Test: no_request_waits_behind_an_upload_that_its_node_has_answered was red before (no connection within 30 s) and passes.

--- a/crates/proxy/src/socket/io.rs
+++ b/crates/proxy/src/socket/io.rs
@@ -81,6 +81,7 @@
         head: &[u8],
         send: impl Fn(&TcpStream, Option<&[u8]>) -> io::Result<usize>,
     ) -> Poll<io::Result<usize>> {
+        self.0.fully_written.set(false);
         loop {
             if self.0.stream.poll_write_ready(cx)?.is_pending() {
                 self.0.write_blocked.set(true);
--- a/crates/proxy/src/socket/mod.rs
+++ b/crates/proxy/src/socket/mod.rs
@@ -37,7 +37,7 @@
     stream: TcpStream,
     /// Whether bytes were written since [`Socket::begin_message`].
     write_began: Cell<bool>,
-    /// Whether all bytes that hyper had to write since then have been written.
+    /// Whether all bytes have been written that hyper has had to write since then.
     fully_written: Cell<bool>,
     /// Whether the kernel's buffer is full, so that hyper has bytes still to write.
     write_blocked: Cell<bool>,
@@ -82,7 +82,8 @@
         self.fully_written.set(false);
     }
 
-    /// Whether the message's last byte has been written.
+    /// Whether all of the message has been written that hyper has been given so far; more of a streamed body may
+    /// follow.
     pub fn is_fully_written(&self) -> bool {
         self.fully_written.get()
     }
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -144,6 +144,7 @@
             read_ahead: RefCell::new(Some((read_ahead.into(), reservation))),
             rest: RefCell::new(Some((body, rate))),
             arrival: arrival.clone(),
+            read_to_end: Cell::new(false),
             failed: Cell::new(false),
         };
         return Ok(Payload::Streamed(Rc::new(upload)));
@@ -161,6 +162,8 @@
     /// The rest of the body; taken by the first attempt that reads further.
     rest: RefCell<Option<(Incoming, ReceiveRate)>>,
     arrival: Rc<BodyArrival>,
+    /// Whether an attempt has read the body to its end.
+    read_to_end: Cell<bool>,
     failed: Cell<bool>,
 }
 
@@ -183,6 +186,16 @@
         &self.arrival
     }
 
+    /// Whether an attempt has read the body to its end.
+    pub fn is_read_to_end(&self) -> bool {
+        self.read_to_end.get()
+    }
+
+    fn end(&self) {
+        self.read_to_end.set(true);
+        self.arrival.record();
+    }
+
     /// Whether the rest of the body could not be received from the client.
     pub fn failed(&self) -> bool {
         self.failed.get()
@@ -222,14 +235,14 @@
             rate.waited += self.wait_start.take().map_or(Duration::ZERO, |start| start.elapsed());
             let data = match frame {
                 None => {
-                    self.upload.arrival.record();
+                    self.upload.end();
                     return Poll::Ready(None);
                 }
                 Some(Err(_)) => return Poll::Ready(Some(Err(UploadError::Broken))),
                 Some(Ok(frame)) => frame.into_data(),
             };
             if rest.is_end_stream() {
-                self.upload.arrival.record();
+                self.upload.end();
             }
             let Ok(data) = data else { continue };
             rate.received += data.len() as u64;
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -13,7 +13,7 @@
 use hyper::header::{HeaderValue, HOST};
 use hyper::Request;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
@@ -64,6 +64,47 @@
     checked_at: Instant,
 }
 
+/// A connection whose answer has been received.
+struct ConnectionUse {
+    pool: Weak<Upstreams>,
+    server: ServerId,
+    /// The node's epoch when the connection was chosen.
+    epoch: u64,
+    connection: Connection,
+    handle: Rc<AttemptHandle>,
+}
+
+impl ConnectionUse {
+    /// Returns the connection to the pool once the request has been fully written too. A node may answer before
+    /// it has received the whole body; the next request would have to wait for the rest of it.
+    fn end(self) {
+        if self.handle.is_written() {
+            return self.put_used();
+        }
+        if self.handle.has_upload() {
+            tokio::task::spawn_local(self.end_after_upload());
+        }
+    }
+
+    /// Lets the client send the rest of its body. Hyper is ready for a request once that has been written.
+    async fn end_after_upload(mut self) {
+        let handle = self.handle.clone();
+        let is_ready = tokio::select! {
+            ready = self.connection.sender.ready() => ready.is_ok(),
+            () = handle.stuck() => false,
+        };
+        if is_ready && handle.is_written() {
+            self.put_used();
+        }
+    }
+
+    fn put_used(self) {
+        if let Some(pool) = self.pool.upgrade() {
+            pool.put_used(self.server, self.epoch, self.connection);
+        }
+    }
+}
+
 impl Attempt<'_> {
     /// Makes the attempt. It ends at its deadline or, if the body is streamed, `time_limit` after the body's
     /// last byte arrived.
@@ -125,7 +166,7 @@
         let ready = self.prepare_connection().await?;
         let ReadyConnection { mut connection, reused, addr, epoch, body, checked_at } = ready;
         connection.socket.begin_message(MAX_ANSWER_BYTES, Box::new(self.write_check(epoch, checked_at)));
-        self.handle.set_socket(connection.socket.clone());
+        self.handle.set_exchange(connection.socket.clone(), self.job.body.upload().cloned());
         if self.job.body.upload().is_some() {
             connection.socket.prepare_for_streaming();
         }
@@ -134,19 +175,13 @@
         match receive(response, &self.pool.budget).await {
             Received::Unusable => Err(TryError::Ended(Status::Reset)),
             Received::Complete(outcome) => {
-                if connection.socket.is_fully_written() {
-                    self.pool.put_used(self.server, epoch, connection);
-                }
+                self.connection_use(epoch, connection).end();
                 Ok(outcome)
             }
             Received::Streamed(answer) => {
                 connection.socket.prepare_for_streaming();
-                let (pool, server) = (Rc::downgrade(self.pool), self.server);
-                Ok(answer.into_outcome(move || {
-                    if let Some(pool) = pool.upgrade().filter(|_| connection.socket.is_fully_written()) {
-                        pool.put_used(server, epoch, connection);
-                    }
-                }))
+                let connection_use = self.connection_use(epoch, connection);
+                Ok(answer.into_outcome(move || connection_use.end()))
             }
         }
     }
@@ -197,6 +232,11 @@
         Ok(ReadyConnection { connection, reused, addr, epoch, body, checked_at })
     }
 
+    fn connection_use(&self, epoch: u64, connection: Connection) -> ConnectionUse {
+        let pool = Rc::downgrade(self.pool);
+        ConnectionUse { pool, server: self.server, epoch, connection, handle: self.handle.clone() }
+    }
+
     fn write_check(&self, epoch: u64, checked_at: Instant) -> WriteCheck {
         WriteCheck {
             pool: Rc::downgrade(self.pool),
@@ -220,7 +260,7 @@
             return TryError::Ended(Status::NotSent);
         }
         // The node may have processed a fully written request, so it must not be sent again here.
-        if connection.socket.is_fully_written() {
+        if self.handle.is_written() {
             return TryError::Ended(Status::Reset);
         }
         if reused {
--- a/crates/proxy/src/upstream/handle.rs
+++ b/crates/proxy/src/upstream/handle.rs
@@ -1,6 +1,7 @@
 //! The engine's handle on an attempt in flight.
 
 use crate::socket::Socket;
+use crate::upload::Upload;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,6 +20,8 @@
 pub struct AttemptHandle {
     /// The connection on which the attempt is made.
     socket: RefCell<Option<Rc<Socket>>>,
+    /// The body of the request, if it is streamed.
+    upload: RefCell<Option<Rc<Upload>>>,
     writing_forbidden: Cell<bool>,
     /// The time from which nothing of the attempt may be written.
     write_deadline: Cell<Option<Instant>>,
@@ -62,14 +65,21 @@
         self.writing_forbidden.get() || self.write_deadline.get().is_some_and(|deadline| now >= deadline)
     }
 
-    /// Sets the connection on which the attempt is made.
-    pub(super) fn set_socket(&self, socket: Rc<Socket>) {
+    /// Sets the connection on which the attempt is made, and the body of the request if it is streamed.
+    pub(super) fn set_exchange(&self, socket: Rc<Socket>, upload: Option<Rc<Upload>>) {
         self.socket.replace(Some(socket));
+        self.upload.replace(upload);
     }
 
     /// Whether the request has been fully written.
     pub(super) fn is_written(&self) -> bool {
-        self.socket.borrow().as_ref().is_some_and(|socket| socket.is_fully_written())
+        self.upload.borrow().as_ref().is_none_or(|upload| upload.is_read_to_end())
+            && self.socket.borrow().as_ref().is_some_and(|socket| socket.is_fully_written())
+    }
+
+    /// Whether the body of the request is streamed.
+    pub(super) fn has_upload(&self) -> bool {
+        self.upload.borrow().is_some()
     }
 
     /// Waits until writing is forbidden before the request was fully written.
--- a/crates/proxy/tests/uploads.rs
+++ b/crates/proxy/tests/uploads.rs
@@ -6,7 +6,7 @@
 use rig::*;
 use serde_json::json;
 use socket2::{Domain, Socket, Type};
-use std::io::{Read, Write};
+use std::io::{BufRead, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -141,3 +141,30 @@
     assert!(matches!(client.answer().status(), 502..=504));
     assert!(stopped.elapsed() < KILL_DELAY, "{:?}", stopped.elapsed());
 }
+
+/// Guards against a connection that is reused while the rest of an upload is still to be sent on it: the next
+/// request would wait for the client of the upload.
+#[test]
+fn no_request_waits_behind_an_upload_that_its_node_has_answered() {
+    const LENGTH: usize = 200_000;
+    let r = rig();
+    let request = upload("slow", LENGTH, false);
+    let (first, rest) = request.split_at(150_000);
+    let mut slow = r.proxy.client();
+    slow.0.get_mut().write_all(first).expect("written");
+    let mut slow_node = r.origin.take();
+    assert!(!slow_node.0.fill_buf().expect("its beginning").is_empty());
+    // The node answers before the body is whole.
+    slow_node.reply("200 OK", "", "early");
+    assert_eq!(slow.answer().body, b"early");
+    let mut next = r.proxy.client();
+    next.0.get_mut().write_all(&put("next", "Content-Length: 1", b"x")).expect("written");
+    let mut node = r.origin.take();
+    assert_eq!(node.request().header("x-correlation-id"), Some("next"));
+    node.reply("200 OK", "Connection: close\r\n", "stored");
+    assert_eq!(next.answer().body, b"stored");
+    // The rest of the upload still reaches its node.
+    slow.0.get_mut().write_all(rest).expect("written");
+    let received = slow_node.request();
+    assert_eq!((received.header("x-correlation-id"), received.body.len()), (Some("slow"), LENGTH));
+}
