Fix: a stalled body that waits for memory is answered within 3 s

Cause: a body waited for memory for up to 2 s and then for its client for 2 s more. Fix: a body that has not arrived waits for memory for 0.7 s at most.

--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -19,6 +19,9 @@
 const STALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// The minimum average rate of a body, once the client has been waited for longer than [`STALL_TIMEOUT`].
 const MIN_BYTES_PER_SECOND: f64 = 16e3;
+/// A body that has not arrived waits for free bytes in the budget no longer than this. If its client then stalls,
+/// its connection ends within the 3 s that a stalled client may hold it.
+const MAX_BUDGET_WAIT: Duration = Duration::from_millis(700);
 /// How often a body that waits for free bytes in the budget retries.
 const BUDGET_RETRY_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -86,8 +89,8 @@
 
 /// Reads a body: to its end if it is small, else up to the point where it has to be streamed. Accepts up to
 /// [`MAX_STREAMED_BODY_BYTES`] with `allow_large`, else up to [`MAX_BUFFERED_BODY_BYTES`]. Its end is recorded in
-/// `arrival`. Once that has come, the body waits for free bytes in the budget no longer than half of
-/// `time_left`, so that a client whose body finds no room has time to ask again.
+/// `arrival`. Once that has come, the body waits for free bytes in the budget for half of `time_left` at most, so
+/// that a client whose body finds no room has time to ask again.
 pub async fn read(
     mut body: Incoming,
     allow_large: bool,
@@ -108,8 +111,9 @@
         .exact()
         .map_or(MAX_BUFFERED_BODY_BYTES, |length| length.min(MAX_BUFFERED_BODY_BYTES as u64) as usize);
     let started_at = Instant::now();
-    let waits_too_long = || {
-        started_at.elapsed() > STALL_TIMEOUT || arrival.at().is_some_and(|at| at.elapsed() > time_left / 2)
+    let waits_too_long = || match arrival.at() {
+        None => started_at.elapsed() > MAX_BUDGET_WAIT,
+        Some(arrived_at) => arrived_at.elapsed() > time_left / 2 || started_at.elapsed() > STALL_TIMEOUT,
     };
     let mut reservation = loop {
         match budget.reserve(reserved_bytes) {
--- a/crates/proxy/tests/uploads.rs
+++ b/crates/proxy/tests/uploads.rs
@@ -90,26 +90,39 @@
     }
 }
 
-/// Guards against a body that waits for memory longer than its client waits for the answer, while clients that
-/// have stalled hold all of it.
+/// A proxy whose memory for bodies is held by stalled clients.
+struct FullMemory {
+    proxy: Proxy,
+    _stalled: Vec<Peer>,
+    _servers: [Server; 2],
+}
+
+impl FullMemory {
+    fn new() -> Self {
+        /// With this limit, bodies of 256 KiB are buffered at once.
+        const MEMORY_MB: u64 = 9;
+        let (origin, discovery) = (Server::new(), Server::new());
+        let mut settings = config(discovery.addr, &[member("o1", origin.addr, "origin", "ready")]);
+        settings["limits"]["memory_mb"] = json!(MEMORY_MB);
+        let proxy = Proxy::new(&settings);
+        let stalled = (0..4).map(|n| {
+            let mut client = proxy.client();
+            let framing = "Expect: 100-continue\r\nContent-Length: 65536";
+            client.0.get_mut().write_all(&put(&format!("stalled-{n}"), framing, b"")).expect("written");
+            // The body is asked for once it has its memory.
+            assert_eq!(client.read().expect("an interim answer").status(), 100);
+            client
+        });
+        let stalled = stalled.collect();
+        FullMemory { proxy, _stalled: stalled, _servers: [origin, discovery] }
+    }
+}
+
+/// Guards against a body that waits for memory longer than its client waits for the answer.
 #[test]
 fn a_write_that_finds_no_memory_is_answered_in_time() {
-    /// With this limit, bodies of 256 KiB are buffered at once.
-    const MEMORY_MB: u64 = 9;
-    let (origin, discovery) = (Server::new(), Server::new());
-    let mut settings = config(discovery.addr, &[member("o1", origin.addr, "origin", "ready")]);
-    settings["limits"]["memory_mb"] = json!(MEMORY_MB);
-    let proxy = Proxy::new(&settings);
-    let mut stalled = Vec::new();
-    for n in 0..4 {
-        let mut client = proxy.client();
-        let framing = "Expect: 100-continue\r\nContent-Length: 65536";
-        client.0.get_mut().write_all(&put(&format!("stalled-{n}"), framing, b"")).expect("written");
-        // The body is asked for once it has its memory.
-        assert_eq!(client.read().expect("an interim answer").status(), 100);
-        stalled.push(client);
-    }
-    let mut client = proxy.client();
+    let full = FullMemory::new();
+    let mut client = full.proxy.client();
     client.0.get_mut().write_all(&upload("whole", 60_000, false)).expect("written");
     let arrived = arrival(client.0.get_ref());
     let answer = client.answer();
@@ -118,6 +131,19 @@
     assert!(waited < Duration::from_secs_f64(TIME_LEFT) + SLACK, "{waited:?}");
 }
 
+/// Guards against a stalled body that first waits for memory and then for its client, longer than a stalled
+/// client may hold its connection.
+#[test]
+fn a_stalled_body_that_finds_no_memory_is_answered_in_time() {
+    const MAX_HOLD: Duration = Duration::from_secs(3);
+    let full = FullMemory::new();
+    let connected = Instant::now();
+    let mut client = full.proxy.client();
+    client.0.get_mut().write_all(&put("half", "Content-Length: 60000", b"x")).expect("written");
+    assert!(client.answer().status() >= 400);
+    assert!(connected.elapsed() < MAX_HOLD, "{:?}", connected.elapsed());
+}
+
 /// Guards against a body that ends after SIGTERM, whose time reaches beyond the kill of the process.
 #[test]
 fn an_upload_that_ends_after_the_stop_signal_is_answered_before_the_process_may_be_killed() {
