Fix: an answer to HEAD that states its length twice is forwarded

Cause: hyper accepts equal lengths and refuses to send the header twice; the proxy kept both. Fix: one is kept.

Test: an_answer_to_head_with_a_repeated_length_is_forwarded was red before (the connection ended) and passes.

--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -112,8 +112,10 @@
             let (mut head, body) = response.into_parts();
             strip_hop_by_hop(&mut head.headers);
             // Hyper would use this header without a check, and a buffered body has its own length.
-            if !is_head {
-                head.headers.remove(header::CONTENT_LENGTH);
+            // It refuses to send the header more than once.
+            let length = head.headers.remove(header::CONTENT_LENGTH);
+            if let Some(length) = length.filter(|_| is_head) {
+                head.headers.insert(header::CONTENT_LENGTH, length);
             }
             head.version = Version::HTTP_11;
             Response::from_parts(head, body)
--- a/crates/proxy/tests/requests.rs
+++ b/crates/proxy/tests/requests.rs
@@ -4,6 +4,7 @@
 
 use rig::*;
 use serde_json::{json, Value};
+use std::io::Read;
 use std::process::Command;
 
 #[test]
@@ -89,6 +90,26 @@
     }
 }
 
+/// Guards against an answer to HEAD that states its length twice and ends the client's connection unanswered.
+#[test]
+fn an_answer_to_head_with_a_repeated_length_is_forwarded() {
+    let r = rig();
+    let mut client = r.proxy.client();
+    client.write(&get("read", "").replace("GET ", "HEAD "));
+    let mut node = r.cache.take();
+    node.request();
+    node.write("HTTP/1.1 200 OK\r\nX-Lookup: hit\r\nContent-Length: 70\r\nContent-Length: 70\r\n\r\n");
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        let mut byte = [0];
+        client.0.read_exact(&mut byte).expect("an answer");
+        head.push(byte[0]);
+    }
+    let head = String::from_utf8(head).expect("text").to_lowercase();
+    assert!(head.starts_with("http/1.1 200"), "{head}");
+    assert_eq!(head.matches("content-length: 70").count(), 1, "{head}");
+}
+
 #[test]
 fn a_stalled_body_times_out() {
     let r = rig();
