Fix: the fault library does not read a new plan in a signal handler

Fix: a send on a local socket, as handlers make it, is judged by the plan read last and waits for no lock.

--- a/crates/faults-preload/src/engine.rs
+++ b/crates/faults-preload/src/engine.rs
@@ -103,14 +103,33 @@
         return Verdict::default();
     }
     let number = errno();
-    let mut engine = ENGINE.lock().unwrap_or_else(PoisonError::into_inner);
-    let verdict = engine.get_or_insert_with(Engine::new).decide(call, subject);
-    drop(engine);
+    let verdict = if may_be_in_signal_handler(call, subject) {
+        decide_in_signal_handler(call, subject)
+    } else {
+        let mut engine = ENGINE.lock().unwrap_or_else(PoisonError::into_inner);
+        let engine = engine.get_or_insert_with(Engine::new);
+        engine.refresh();
+        engine.decide(call, subject)
+    };
     set_errno(number);
     IN_ENGINE.set(false);
     verdict
 }
 
+/// Whether a call may come from a signal handler: tokio's handlers notify the runtime through a pair of local
+/// sockets.
+fn may_be_in_signal_handler(call: Call, subject: Subject<'_>) -> bool {
+    matches!(subject, Subject::Descriptor(fd) if call == Call::Send && is_local_socket(fd))
+}
+
+/// Evaluates the rules of the plan that was last read. A new plan is left to the next call elsewhere: reading it
+/// allocates, and the interrupted thread may hold the allocator's lock. Another thread that waits for that lock
+/// may hold the engine, so this does not wait for the engine either.
+fn decide_in_signal_handler(call: Call, subject: Subject<'_>) -> Verdict {
+    let Ok(mut engine) = ENGINE.try_lock() else { return Verdict::default() };
+    engine.as_mut().map_or_else(Verdict::default, |engine| engine.decide(call, subject))
+}
+
 /// Stops the process until it is killed or continued (SIGCONT).
 fn stop() {
     // SAFETY: the call accesses no memory of the caller.
@@ -182,7 +201,6 @@
     }
 
     fn decide(&mut self, call: Call, subject: Subject<'_>) -> Verdict {
-        self.refresh();
         let mut verdict = Verdict::default();
         for index in 0..self.plan.rules.len() {
             let rule = &self.plan.rules[index];
@@ -320,6 +338,18 @@
 }
 
 fn port_from(socket_name: SocketNameFn, fd: c_int) -> Option<u16> {
+    let address = address_from(socket_name, fd)?;
+    // SAFETY: the storage is large enough for any address, and aligned.
+    Some(unsafe { port_of((&raw const address).cast()) })
+}
+
+/// Whether a descriptor is a socket that connects processes of this machine only (AF_UNIX).
+fn is_local_socket(fd: c_int) -> bool {
+    address_from(libc::getsockname, fd).is_some_and(|address| c_int::from(address.ss_family) == libc::AF_UNIX)
+}
+
+/// Returns the address that `socket_name` reports, or `None` if the descriptor is not a socket or has none.
+fn address_from(socket_name: SocketNameFn, fd: c_int) -> Option<libc::sockaddr_storage> {
     // SAFETY: all zeros are a valid address of no family; the call writes at most `length` bytes of it.
     let (address, result) = unsafe {
         let mut address: libc::sockaddr_storage = std::mem::zeroed();
@@ -327,8 +357,7 @@
         let result = socket_name(fd, (&raw mut address).cast(), &raw mut length);
         (address, result)
     };
-    // SAFETY: the storage is large enough for any address, and aligned.
-    (result == 0).then(|| unsafe { port_of((&raw const address).cast()) })
+    (result == 0).then_some(address)
 }
 
 /// Returns the port of an address, or 0 if its family has none.
