Log and count the attempts of each request, and answers that end in the middle

Change: each attempt logs its request, node, duration, whether the head of an answer had come and how it ended (debug; at info where it ends within an answer for lack of time); each final answer logs its id, result and time (debug); an answer that ends early names its request and its bytes. Four counters of answers, in the answer to /api/version.

--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -4,20 +4,28 @@
 use super::admin::{AdminReply, Call};
 use super::discovery::ListStatus;
 use super::drain::Drain;
+use super::metrics::Metrics;
 use super::operator_orders::{OperatorOrders, OrderStore};
 use super::Engine;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
+/// What the answer to a call for the version is made of.
+pub struct StatusSources {
+    /// The constant part, and the version in force.
+    pub version_info: Rc<RefCell<serde_json::Value>>,
+    /// Status of the endpoint list, if the operator's file has a `[list]` section.
+    pub list_status: Option<Rc<ListStatus>>,
+    /// The counters of the process.
+    pub metrics: Rc<Metrics>,
+}
+
 /// Handler of the calls to the admin endpoint.
 pub struct AdminHandler {
     engine: Rc<Engine>,
     drain: Rc<Drain>,
     store: OrderStore,
-    /// The constant part of the answer to a call for the version, and the version in force.
-    version_info: Rc<RefCell<serde_json::Value>>,
-    /// Status of the endpoint list, if the operator's file has a `[list]` section.
-    list_status: Option<Rc<ListStatus>>,
+    sources: StatusSources,
     /// The orders in force.
     applied: RefCell<OperatorOrders>,
     /// Whether clients are accepted.
@@ -26,15 +34,9 @@
 
 impl AdminHandler {
     /// Creates a handler, and applies the stored orders of earlier processes.
-    pub fn new(
-        engine: Rc<Engine>,
-        drain: Rc<Drain>,
-        store: OrderStore,
-        version_info: Rc<RefCell<serde_json::Value>>,
-        list_status: Option<Rc<ListStatus>>,
-    ) -> Rc<Self> {
+    pub fn new(engine: Rc<Engine>, drain: Rc<Drain>, store: OrderStore, sources: StatusSources) -> Rc<Self> {
         let (applied, serving) = (RefCell::default(), Cell::new(false));
-        let handler = AdminHandler { engine, drain, store, version_info, list_status, applied, serving };
+        let handler = AdminHandler { engine, drain, store, sources, applied, serving };
         handler.apply_stored_orders();
         Rc::new(handler)
     }
@@ -67,16 +69,21 @@
     }
 
     fn version(&self) -> serde_json::Value {
-        let mut version_info = self.version_info.borrow().clone();
+        let mut version_info = self.sources.version_info.borrow().clone();
         if let (Some(aniseyoke_core::QueueStatus { waiting, rejected }), Some(version_info)) =
             (self.engine.queue_status(), version_info.as_object_mut())
         {
             version_info
                 .insert("limits".into(), serde_json::json!({ "waiting": waiting, "turned": rejected }));
         }
-        if let (Some(list_status), Some(version_info)) = (&self.list_status, version_info.as_object_mut()) {
+        if let (Some(list_status), Some(version_info)) =
+            (&self.sources.list_status, version_info.as_object_mut())
+        {
             version_info.insert("list".into(), list_status.to_json());
         }
+        if let Some(version_info) = version_info.as_object_mut() {
+            version_info.insert("counters".into(), self.sources.metrics.to_json());
+        }
         version_info
     }
 
--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -58,6 +58,7 @@
         let ParsedRequest { id, mut incoming } = match parsed {
             Ok(parsed) => parsed,
             Err(Rejection { status, reason }) => {
+                tracing::debug!("{}: rejected with {status}: {reason}", client.peer);
                 let mut response = reject(status, reason);
                 if status == StatusCode::METHOD_NOT_ALLOWED {
                     response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, HEAD, PUT"));
@@ -75,7 +76,7 @@
         if !self.open_request_ids.borrow_mut().insert(id.clone()) {
             return reject(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
         }
-        let open_id = OpenRequestId { server: self.clone(), id };
+        let open_id = OpenRequestId { server: self.clone(), id: id.clone() };
         let is_head = incoming.job.method == Method::HEAD;
         // A client that closed its sending side before its request was read may have disconnected long ago,
         // and an attempt would then be sent for nobody.
@@ -88,7 +89,10 @@
         let mut ticket = self.engine.submit(incoming);
         let mut response = tokio::select! {
             biased;
-            answer = ticket.answer() => to_response(answer, is_head),
+            answer = ticket.answer() => {
+                log_answer(&id, &answer, received_at.elapsed());
+                to_response(answer, is_head)
+            }
             never = &mut body_watch => match never {},
             () = socket.closed_by_peer(probe) => client_gone(),
         };
@@ -104,6 +108,21 @@
     text_response(StatusCode::BAD_GATEWAY, "the client has gone")
 }
 
+/// Logs the final answer of a request, `elapsed` after its head was received.
+fn log_answer(id: &HeaderValue, answer: &Answer<UpstreamResponse>, elapsed: Duration) {
+    let id = id.to_str().unwrap_or_default();
+    match answer {
+        Answer::Served(_) => tracing::debug!("request {id}: served after {elapsed:?}"),
+        Answer::Rejected(wait) => {
+            tracing::debug!("request {id}: refused after {elapsed:?}, to come again in {wait:?}");
+        }
+        Answer::Failed => tracing::debug!("request {id}: failed after {elapsed:?}"),
+        Answer::TimedOut => {
+            tracing::warn!("request {id} timed out: no answer from the engine by the deadline");
+        }
+    }
+}
+
 /// Converts the engine's answer to a response. For a HEAD request, `Content-Length` states the length of the
 /// body that is not sent.
 fn to_response(answer: Answer<UpstreamResponse>, is_head: bool) -> Response<ResponseBody> {
@@ -130,10 +149,7 @@
             response
         }
         Answer::Failed => text_response(StatusCode::BAD_GATEWAY, "failed"),
-        Answer::TimedOut => {
-            tracing::warn!("request timed out: no answer from the engine by the deadline");
-            text_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
-        }
+        Answer::TimedOut => text_response(StatusCode::GATEWAY_TIMEOUT, "no answer in time"),
     }
 }
 
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -28,10 +28,11 @@
 
 use crate::budget::Budget;
 use crate::config::{Config, Names};
-use crate::control::AdminHandler;
+use crate::control::{AdminHandler, StatusSources};
 use crate::descriptors::DescriptorBudget;
 use crate::discovery::{ListPolling, ListStatus, WatchTriggers};
 use crate::drain::Drain;
+use crate::metrics::Metrics;
 use crate::opening::OpenLimiter;
 use crate::operator_orders::OrderStore;
 use crate::peers::Peers;
@@ -87,6 +88,7 @@
     pending_connection: RefCell<Option<(TcpStream, SocketAddr)>>,
     /// The ids of all requests in progress. The hash must be keyed, since clients choose the ids.
     open_request_ids: RefCell<HashSet<HeaderValue>>,
+    metrics: Rc<Metrics>,
 }
 
 /// Options beyond the platform's configuration.
@@ -169,8 +171,8 @@
     }
     let store = OrderStore::open(state_dir);
     let AdminOptions { version_info, list_status } = admin_options;
-    let control =
-        AdminHandler::new(server.engine.clone(), server.drain.clone(), store, version_info, list_status);
+    let sources = StatusSources { version_info, list_status, metrics: server.metrics.clone() };
+    let control = AdminHandler::new(server.engine.clone(), server.drain.clone(), store, sources);
     if let Some(mgmt) = mgmt {
         open_admin_endpoint(mgmt, &control).await?;
     }
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -95,7 +95,8 @@
         strip_hop_by_hop(&mut headers);
         // The forwarded request gets the actual length of the body.
         headers.remove(header::CONTENT_LENGTH);
-        let job = Job { method: head.method, uri, headers, body, client_handle: None };
+        let job =
+            Job { id: checked.id.clone(), method: head.method, uri, headers, body, client_handle: None };
         let incoming = IncomingRequest { request, job, received_at: received_at.into_std() };
         Ok(ParsedRequest { id: checked.id, incoming })
     }
--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -10,6 +10,7 @@
 use crate::descriptors::DescriptorBudget;
 use crate::discovery::EndpointWatcher;
 use crate::drain::Drain;
+use crate::metrics::Metrics;
 use crate::upstream::Upstreams;
 use crate::{handover, Engine};
 use std::cell::{Cell, RefCell};
@@ -64,12 +65,14 @@
 ) -> Result<Parts, StartError> {
     let descriptors = DescriptorBudget::new(limits.max_connections(other_claims));
     let budget = Budget::new(limits.max_buffered_bytes(other_claims));
+    let metrics = Metrics::new();
     let upstreams = Upstreams::new(
         descriptors.clone(),
         budget.clone(),
         config.connect_timeout,
         config.settings.idle_timeout,
         options.opening,
+        metrics.clone(),
     );
     let names = Rc::new(config.names);
     // A process that takes over requests the full list. A request for changes since a known version gets no
@@ -98,6 +101,7 @@
         clients: Rc::default(),
         pending_connection: RefCell::default(),
         open_request_ids: RefCell::default(),
+        metrics,
     });
     Ok(Parts { server, watcher, watch_requests })
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -16,6 +16,7 @@
 mod duration;
 pub mod front;
 mod handover;
+mod metrics;
 mod opening;
 pub mod operator;
 mod operator_orders;
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,12 +1,15 @@
 //! The body of an answer to a client: buffered, or streamed as it comes from the node.
 
 use super::budget::Reservation;
+use super::metrics::{Metric, Metrics};
 use super::MAX_STREAMED_BODY_BYTES;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
+use hyper::header::HeaderValue;
 use std::any::Any;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::time::{sleep, Instant, Sleep};
@@ -14,6 +17,31 @@
 /// A node that sends no data for this long in the middle of an answer has failed.
 const STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// What the log and the counters tell of a streamed answer.
+pub struct StreamRecord {
+    pub metrics: Rc<Metrics>,
+    /// The id of the request.
+    pub request_id: HeaderValue,
+}
+
+impl StreamRecord {
+    /// Records that the node did not give the answer to its end.
+    fn broken_by_node(&self, error: &io::Error, relayed_bytes: u64) {
+        self.metrics.count(Metric::BrokenByNode);
+        let id = self.request_id.to_str().unwrap_or_default();
+        tracing::info!(
+            "request {id}: an answer to a client ended early after {relayed_bytes} bytes: {error}"
+        );
+    }
+
+    /// Records that the answer was dropped before its end.
+    fn not_taken(&self, relayed_bytes: u64) {
+        self.metrics.count(Metric::NotTaken);
+        let id = self.request_id.to_str().unwrap_or_default();
+        tracing::debug!("request {id}: an answer was not taken to its end, {relayed_bytes} bytes were");
+    }
+}
+
 /// The body of an answer that is streamed while it is received. Dropped after its end, it returns its
 /// connection to the pool.
 pub struct StreamedBody {
@@ -22,6 +50,9 @@
     relayed_bytes: u64,
     stall_timer: Pin<Box<Sleep>>,
     ended: bool,
+    /// Whether the node failed to give the whole body.
+    failed: bool,
+    record: StreamRecord,
     /// Called on drop if the answer was received to its end.
     on_complete: Option<Box<dyn FnOnce()>>,
 }
@@ -29,7 +60,12 @@
 impl StreamedBody {
     /// Creates the body from the part that was already read and the rest; `on_complete` is called on drop if
     /// the body was received to its end.
-    pub fn new(read_ahead: Bytes, rest: Incoming, on_complete: impl FnOnce() + 'static) -> Self {
+    pub fn new(
+        read_ahead: Bytes,
+        rest: Incoming,
+        record: StreamRecord,
+        on_complete: impl FnOnce() + 'static,
+    ) -> Self {
         let stall_timer = Box::pin(sleep(STALL_TIMEOUT));
         StreamedBody {
             read_ahead: Some(read_ahead),
@@ -37,6 +73,8 @@
             relayed_bytes: 0,
             stall_timer,
             ended: false,
+            failed: false,
+            record,
             on_complete: Some(Box::new(on_complete)),
         }
     }
@@ -78,7 +116,13 @@
 
 impl Drop for StreamedBody {
     fn drop(&mut self) {
-        if let Some(on_complete) = self.on_complete.take().filter(|_| self.ended) {
+        if !self.ended {
+            if !self.failed {
+                self.record.not_taken(self.relayed_bytes);
+            }
+            return;
+        }
+        if let Some(on_complete) = self.on_complete.take() {
             on_complete();
         }
     }
@@ -130,11 +174,15 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let next = match &mut self.kind {
             BodyKind::Buffered(bytes) => bytes.take().map(Ok),
-            BodyKind::Streamed(streamed) => ready!(streamed.poll_data(cx)),
+            BodyKind::Streamed(streamed) => {
+                let next = ready!(streamed.poll_data(cx));
+                if let Some(Err(error)) = &next {
+                    streamed.failed = true;
+                    streamed.record.broken_by_node(error, streamed.relayed_bytes);
+                }
+                next
+            }
         };
-        if let Some(Err(e)) = &next {
-            tracing::info!("an answer to a client ended early: {e}");
-        }
         Poll::Ready(next.map(|data| data.map(Frame::data)))
     }
 
--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -2,7 +2,7 @@
 
 use super::{Outcome, UpstreamResponse};
 use crate::budget::Budget;
-use crate::relay::{ResponseBody, StreamedBody};
+use crate::relay::{ResponseBody, StreamRecord, StreamedBody};
 use crate::{MAX_BUFFERED_BODY_BYTES, MAX_STREAMED_BODY_BYTES};
 use aniseyoke_decision::api::{Load, Status};
 use http_body_util::BodyExt;
@@ -43,9 +43,9 @@
 impl StreamedAnswer {
     /// Returns the outcome of a served attempt; `on_complete` is called when the whole answer has been
     /// received.
-    pub(super) fn into_outcome(self, on_complete: impl FnOnce() + 'static) -> Outcome {
+    pub(super) fn into_outcome(self, record: StreamRecord, on_complete: impl FnOnce() + 'static) -> Outcome {
         let (hit, load) = (hit(&self.head.headers), load(&self.head.headers));
-        let body = StreamedBody::new(self.read_ahead, self.rest, on_complete);
+        let body = StreamedBody::new(self.read_ahead, self.rest, record, on_complete);
         let answer = Response::from_parts(self.head, body.into());
         Outcome { status: Status::Ok, hit, load, answer: Some(answer) }
     }
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,11 +1,13 @@
 //! One attempt at a node, from the choice of its connection to its outcome.
 
 use super::answer::{receive, Received};
+use super::attempt_log::AttemptLog;
 use super::connection::{Connection, ReservedConnection};
 use super::handle::AttemptHandle;
 use super::job::Job;
 use super::write_check::WriteCheck;
 use super::{Outcome, Upstreams};
+use crate::relay::StreamRecord;
 use crate::time_left::{self, TIME_LEFT};
 use crate::upload::AttemptBody;
 use crate::MAX_BUFFERED_BODY_BYTES;
@@ -36,6 +38,7 @@
     /// The total time allowed.
     pub(super) time_limit: Duration,
     pub(super) handle: &'a Rc<AttemptHandle>,
+    pub(super) log: &'a AttemptLog,
 }
 
 /// Why the exchange on one connection ended without a usable answer.
@@ -165,6 +168,7 @@
     async fn try_connection(&self) -> Result<Outcome, TryError> {
         let ready = self.prepare_connection().await?;
         let ReadyConnection { mut connection, reused, addr, epoch, body, checked_at } = ready;
+        self.log.connected(addr);
         connection.socket.begin_message(MAX_ANSWER_BYTES, Box::new(self.write_check(epoch, checked_at)));
         self.handle.set_exchange(connection.socket.clone(), self.job.body.upload().cloned());
         if self.job.body.upload().is_some() {
@@ -172,6 +176,7 @@
         }
         let response = connection.sender.send_request(self.request(body, addr)).await;
         let Ok(response) = response else { return Err(self.send_error(&connection, reused)) };
+        self.log.head_received();
         match receive(response, &self.pool.budget).await {
             Received::Unusable => Err(TryError::Ended(Status::Reset)),
             Received::Complete(outcome) => {
@@ -181,7 +186,9 @@
             Received::Streamed(answer) => {
                 connection.socket.prepare_for_streaming();
                 let connection_use = self.connection_use(epoch, connection);
-                Ok(answer.into_outcome(move || connection_use.end()))
+                let record =
+                    StreamRecord { metrics: self.pool.metrics.clone(), request_id: self.job.id.clone() };
+                Ok(answer.into_outcome(record, move || connection_use.end()))
             }
         }
     }
--- a/crates/proxy/src/upstream/job.rs
+++ b/crates/proxy/src/upstream/job.rs
@@ -3,12 +3,15 @@
 use super::handle::AttemptHandle;
 use crate::socket::{PeerHandle, Presence};
 use crate::upload::Payload;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Uri};
 use std::rc::{Rc, Weak};
 use tokio::time::Instant;
 
 /// A client's request as it is forwarded to any node.
 pub struct Job {
+    /// The id that the client chose.
+    pub id: HeaderValue,
     pub method: Method,
     /// The path and query.
     pub uri: Uri,
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -3,10 +3,12 @@
 //! - This module is the pool: the nodes of the endpoint list, and their idle connections.
 //! - `attempt` makes one attempt on a `connection`, and `answer` reads the node's answer.
 //! - `job` is the request of an attempt, and `handle` is the engine's control over the attempt.
+//! - `attempt_log` records how an attempt ended.
 //! - `write_check` is the last check before the first byte of an attempt is written.
 
 mod answer;
 mod attempt;
+mod attempt_log;
 mod connection;
 mod handle;
 mod job;
@@ -16,12 +18,14 @@
 
 use crate::budget::Budget;
 use crate::descriptors::DescriptorBudget;
+use crate::metrics::Metrics;
 use crate::opening::OpenLimiter;
 use crate::relay::ResponseBody;
 use aniseyoke_core::{AttemptOutcome, Transport};
 use aniseyoke_decision::api::{Entry, Nanos, ServerId, State, Status};
 use aniseyoke_sockets::{connect, ConnectError};
 use attempt::Attempt;
+use attempt_log::AttemptLog;
 use connection::{Connection, IdleConnection, ReservedConnection};
 use handle::AttemptHandle;
 use hyper::Response;
@@ -64,6 +68,7 @@
     last_epoch: Cell<u64>,
     /// Rate limits on opening connections, if configured.
     opening: Option<RefCell<OpenLimiter>>,
+    metrics: Rc<Metrics>,
 }
 
 impl Transport for Upstreams {
@@ -132,7 +137,12 @@
         handle: Rc<AttemptHandle>,
     ) -> Outcome {
         let deadline = Instant::from_std(since) + time_limit;
-        Attempt { pool: &self, server, job: &job, deadline, time_limit, handle: &handle }.run().await
+        let log = AttemptLog::new(self.metrics.clone(), job.clone(), server);
+        let attempt =
+            Attempt { pool: &self, server, job: &job, deadline, time_limit, handle: &handle, log: &log };
+        let outcome = attempt.run().await;
+        log.end(outcome.status);
+        outcome
     }
 }
 
@@ -145,6 +155,7 @@
         connect_timeout: Duration,
         idle_time: Nanos,
         opening: Option<OpenLimiter>,
+        metrics: Rc<Metrics>,
     ) -> Rc<Self> {
         Rc::new(Upstreams {
             nodes: RefCell::default(),
@@ -157,6 +168,7 @@
             max_idle: Duration::from_nanos(idle_time / 4 * 3),
             last_epoch: Cell::new(0),
             opening: opening.map(RefCell::new),
+            metrics,
         })
     }
 
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -3,6 +3,7 @@
 use crate::upload::Payload;
 use aniseyoke_config::model::Opening as OpeningRules;
 use aniseyoke_pace::FleetPosition;
+use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Method, Uri};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +21,7 @@
 fn job(client_handle: Option<PeerHandle>) -> Rc<Job> {
     let uri = Uri::from_static("/read/1");
     Rc::new(Job {
+        id: HeaderValue::from_static("id"),
         method: Method::GET,
         uri,
         headers: HeaderMap::new(),
@@ -37,7 +39,8 @@
 #[tokio::test(flavor = "current_thread")]
 async fn an_attempt_without_a_free_descriptor_is_not_sent() {
     let node = TcpListener::bind("127.0.0.1:0").await.expect("bound");
-    let upstreams = Upstreams::new(DescriptorBudget::new(0), Budget::new(0), TEST_TIMEOUT, 0, None);
+    let upstreams =
+        Upstreams::new(DescriptorBudget::new(0), Budget::new(0), TEST_TIMEOUT, 0, None, Metrics::new());
     let entry = Entry { server: NODE, ..Entry::default() };
     upstreams.update_endpoints(true, &[(entry, node.local_addr().ok())]);
     assert_eq!(attempt(&upstreams, job(None)).await.status, Status::NotSent);
@@ -74,7 +77,8 @@
         let opening = OpenLimiter::new(rules, None, FleetPosition::new(0, 1));
         let idle_time = TEST_TIMEOUT.as_nanos() as Nanos;
         let (descriptors, budget) = (DescriptorBudget::new(9), Budget::new(1 << 20));
-        let upstreams = Upstreams::new(descriptors, budget, TEST_TIMEOUT, idle_time, Some(opening));
+        let upstreams =
+            Upstreams::new(descriptors, budget, TEST_TIMEOUT, idle_time, Some(opening), Metrics::new());
         let entry = Entry { server: NODE, state: State::Ready, ..Entry::default() };
         upstreams.update_endpoints(true, &[(entry, node.local_addr().ok())]);
         let first_answer = async {
