Fix: answers that have begun are forwarded to their ends after SIGTERM

Cause: front/shutdown.rs ends the process at the longest deadline and 0.6 s, whoever is still connected.

SIGKILL finds the same as before.

Test: long_answers_that_have_begun_are_given_to_their_end_after_the_stop_signal failed before (3 answers of 48 cut) and passes, SIGTERM in series. Without the 15 s endings.rs failed, whose answers never end.

--- a/crates/proxy/src/front/client.rs
+++ b/crates/proxy/src/front/client.rs
@@ -49,6 +49,8 @@
     pub heads: Rc<HeadProgress>,
     /// Whether a request is in progress.
     pub has_open_request: Cell<bool>,
+    /// Whether the answer to that request is being streamed.
+    streams_answer: Cell<bool>,
     /// When the connection was accepted.
     pub accepted_at: Instant,
     /// When the connection was accepted or the last answer ended.
@@ -74,6 +76,7 @@
             peer,
             heads: Rc::default(),
             has_open_request: Cell::new(false),
+            streams_answer: Cell::new(false),
             accepted_at: now,
             idle_since: Cell::new(now),
             close_signal: Notify::new(),
@@ -110,6 +113,11 @@
         }
     }
 
+    /// Whether an answer that has begun is still to be written to its end.
+    pub fn receives_answer(&self) -> bool {
+        self.streams_answer.get() || self.socket.is_write_blocked()
+    }
+
     /// Whether the client has read nothing of an answer for so long that the connection is closed.
     fn answer_unread(&self, now: Instant) -> bool {
         if self.has_open_request.get() {
@@ -216,6 +224,7 @@
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.0.has_open_request.set(false);
+        self.0.streams_answer.set(false);
         self.0.answered.set(self.0.answered.get() + 1);
         self.0.idle_since.set(Instant::now());
     }
@@ -254,6 +263,7 @@
                     }
                     if response.body().is_streamed() {
                         client.socket.prepare_for_streaming();
+                        client.streams_answer.set(true);
                         response.body_mut().hold_until_sent(open_request);
                     }
                     Ok::<_, Infallible>(response)
--- a/crates/proxy/src/front/shutdown.rs
+++ b/crates/proxy/src/front/shutdown.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{sleep, timeout_at, Instant};
 
 /// New connections still arrive for some time after SIGTERM. They are accepted for at least this time,
 const MIN_ACCEPT_TIME: Duration = drain::GRACE_PERIOD;
@@ -14,8 +14,12 @@
 /// but no longer than this after SIGTERM.
 const MAX_ACCEPT_TIME: Duration = Duration::from_millis(600);
 /// The platform may kill a proxy once the longest deadline and 0.7 s have passed since SIGTERM. The remaining
-/// clients are disconnected this long after that deadline.
+/// clients are disconnected this long after that deadline, but for those that receive an answer.
 const EXIT_MARGIN: Duration = Duration::from_millis(600);
+/// Answers that are still being forwarded then go on for at most this time, so that the process ends by itself.
+const MAX_ANSWER_TIME: Duration = Duration::from_secs(15);
+/// Interval of the checks whether answers are still being forwarded.
+const ANSWERS_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// Time to write the last log lines after the remaining clients were disconnected; a little less than until
 /// the kill.
 const LOG_MARGIN: Duration = Duration::from_millis(50);
@@ -28,7 +32,8 @@
 impl Server {
     /// Answers further requests with `Connection: close`, closes idle connections, and waits for the
     /// remaining ones. On a socket that was handed over it accepts no more connections; queued ones are left
-    /// to the successor. Returns the time by which the process must have exited.
+    /// to the successor. Answers that have begun are forwarded to their ends, for [`MAX_ANSWER_TIME`] at most
+    /// beyond the time for other requests. Returns the time by which the process must have exited.
     pub(super) async fn shut_down(self: &Rc<Self>, listener: TcpListener, handed_over: bool) -> Instant {
         tracing::info!("draining");
         self.drain.begin_shutdown();
@@ -49,8 +54,21 @@
         // A connection may wait for its admission for as long as others take all descriptors.
         if timeout_at(disconnect_at, all_served).await.is_err() {
             tracing::warn!("shutdown: time limit reached with clients still connected");
+            self.finish_answers().await;
+        }
+        exit_by.max(Instant::now() + LOG_MARGIN)
+    }
+
+    /// Waits until no answer is being forwarded, or [`MAX_ANSWER_TIME`] has passed.
+    async fn finish_answers(&self) {
+        let receiving = || self.clients.open().iter().filter(|client| client.receives_answer()).count();
+        if receiving() > 0 {
+            tracing::info!("shutdown: {} answers are forwarded to their ends", receiving());
+        }
+        let end = Instant::now() + MAX_ANSWER_TIME;
+        while receiving() > 0 && Instant::now() < end {
+            sleep(ANSWERS_CHECK_INTERVAL).await;
         }
-        exit_by
     }
 
     /// Admits the connections that still arrive after `start`, when the shutdown began, then closes the
