Fix: the time of a long request counts from when its client can have written its end

Cause: the time began when the last byte had arrived in the proxy's machine. While the node takes little the proxy reads little, its receive window is full, and up to some MB that the client has written wait in the client's machine.

Fix: front/upload_clock.rs keeps the latest moment in which the last byte was certainly not written: all that had arrived was read, bytes went on arriving though nothing was read, or more was missing or came later than a send buffer holds. The time counts from there, also in the engine and the guard of the answer; once it is over the attempt ends as for a body that has arrived. A node that was still reading is slow: it counts neither as unreachable nor as silent.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -100,6 +100,11 @@
         self.answer_by.set(Some(deadline));
     }
 
+    /// Returns how long a request may take whose last byte arrives at `at`, at most `time`.
+    pub fn time_limit(&self, at: Instant, time: Duration) -> Duration {
+        Duration::from_nanos(self.limited_time(time.as_nanos() as Nanos, at))
+    }
+
     /// Returns how long requests may take whose last byte arrives at `now`, at most `time`.
     fn limited_time(&self, time: Nanos, now: Instant) -> Nanos {
         let left = |deadline: Instant| deadline.saturating_duration_since(now).as_nanos() as Nanos;
--- a/crates/core/src/engine/requests.rs
+++ b/crates/core/src/engine/requests.rs
@@ -87,25 +87,27 @@
     /// Notifies the engine when the last byte of a request's body is received.
     fn watch_body(&self, id: RequestId, job: &T::Job) {
         let weak_self = self.weak_self.clone();
-        job.on_body_received(move || {
+        job.on_body_received(move |received_at| {
             if let Some(engine) = weak_self.upgrade() {
-                engine.body_received(id);
+                engine.body_received(id, received_at);
             }
         });
     }
 
     /// Handles the last byte of a request that arrived with an incomplete body: its time limits count from
-    /// now.
-    fn body_received(&self, id: RequestId) {
+    /// `received_at`.
+    fn body_received(&self, id: RequestId, received_at: Instant) {
         let state = &mut *self.state.borrow_mut();
         let (now, instant) = self.clock.read();
         let Some(request) = state.requests.get_mut(&id) else { return };
-        let time_left = self.limited_time(request.client_timeout, instant);
-        request.deadline = Some(now.saturating_add(time_left));
+        let elapsed = instant.saturating_duration_since(received_at);
+        let received = now.saturating_sub(elapsed.as_nanos() as Nanos);
+        let time_left = self.limited_time(request.client_timeout, received_at);
+        request.deadline = Some(received.saturating_add(time_left));
         for attempt in request.attempts.iter_mut().filter(|attempt| !attempt.has_ended()) {
-            attempt.sent_at = now;
+            attempt.sent_at = received;
             if let AttemptPhase::InFlight { started_at, .. } = &mut attempt.phase {
-                *started_at = now;
+                *started_at = received;
             }
         }
         self.handle_event(state, Event::BodyReceived(id));
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -22,9 +22,11 @@
         false
     }
 
-    fn on_body_received(&self, _callback: impl FnOnce() + 'static) {}
+    fn on_body_received(&self, _callback: impl FnOnce(Instant) + 'static) {}
 
-    async fn body_received(_job: Weak<Self>) {}
+    async fn body_received(_job: Weak<Self>) -> Instant {
+        Instant::now()
+    }
 }
 
 #[derive(Default)]
--- a/crates/core/src/pending_response.rs
+++ b/crates/core/src/pending_response.rs
@@ -44,11 +44,11 @@
     pub async fn answer(&mut self) -> Answer<T::Reply> {
         let Some(answer) = self.answer.as_mut() else { return Answer::TimedOut };
         let deadline = async {
-            T::Job::body_received(self.job.clone()).await;
-            let until_due = |due: Instant| due.saturating_duration_since(Instant::now());
+            let received_at = T::Job::body_received(self.job.clone()).await;
+            let until_due = |due: Instant| due.saturating_duration_since(received_at);
             let time_limit =
                 self.answer_by.get().map_or(self.time_limit, |due| self.time_limit.min(until_due(due)));
-            tokio::time::sleep(time_limit).await;
+            tokio::time::sleep_until((received_at + time_limit).into()).await;
         };
         let answer = tokio::select! {
             biased;
--- a/crates/core/src/transport.rs
+++ b/crates/core/src/transport.rs
@@ -16,13 +16,14 @@
     /// Whether part of the request body has not been received yet.
     fn body_pending(&self) -> bool;
 
-    /// Calls `callback` once the last byte of the request body is received, if it has not been received yet.
-    fn on_body_received(&self, callback: impl FnOnce() + 'static);
+    /// Calls `callback` once the last byte of the request body is received, if it has not been received yet,
+    /// with the time from which the time limits of the request count.
+    fn on_body_received(&self, callback: impl FnOnce(Instant) + 'static);
 
     /// Completes once the last byte of the request is received from the client, or never if it is not
-    /// received. The future must not hold a strong reference to the job, which would keep the client's
+    /// received, with the time from which the time limits of the request count. The future must not hold a strong reference to the job, which would keep the client's
     /// connection open.
-    fn body_received(job: Weak<Self>) -> impl Future<Output = ()>;
+    fn body_received(job: Weak<Self>) -> impl Future<Output = Instant>;
 }
 
 /// The engine's handle on an attempt in flight.
--- a/crates/proxy/src/body_arrival.rs
+++ b/crates/proxy/src/body_arrival.rs
@@ -1,19 +1,26 @@
 //! When the last byte of a request's body arrived on this machine.
 
 use std::cell::{Cell, RefCell};
+use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+/// Called at the arrival, with its time.
+type ArrivalCallback = Box<dyn FnOnce(Instant)>;
+
 /// The arrival of a request's last byte. The time limits of the request count from it, whether or not the byte
 /// has been read: while nothing reads the body, for example because its node accepts nothing, its end waits in
-/// the kernel's receive buffer.
+/// the kernel's receive buffer, or in the client's machine.
 #[derive(Default)]
 pub struct BodyArrival {
     at: Cell<Option<Instant>>,
+    /// The latest known moment in which the client had not written the last byte.
+    unwritten_at: Cell<Option<Instant>>,
+    /// How long the client waits for the answer, once that is known.
+    time_limit: Cell<Option<Duration>>,
     /// Signalled at the arrival.
     signal: Notify,
-    /// Called at the arrival.
-    callback: RefCell<Option<Box<dyn FnOnce()>>>,
+    callback: RefCell<Option<ArrivalCallback>>,
 }
 
 impl BodyArrival {
@@ -22,21 +29,38 @@
         self.at.get()
     }
 
-    /// Records that the last byte has arrived by now. Only the first call counts.
+    /// Returns how long the client waits for the answer, if that is known.
+    pub fn time_limit(&self) -> Option<Duration> {
+        self.time_limit.get()
+    }
+
+    /// Sets how long the client waits for the answer.
+    pub fn set_time_limit(&self, time_limit: Duration) {
+        self.time_limit.set(Some(time_limit));
+    }
+
+    /// Notes a moment in which the client had not written the last byte.
+    pub fn note_unwritten(&self, at: Instant) {
+        self.unwritten_at.set(Some(at));
+    }
+
+    /// Records that the last byte has arrived by now. It counts from the moment in which the client may have
+    /// written it. Only the first call counts.
     pub fn record(&self) {
         if self.at.get().is_some() {
             return;
         }
-        self.at.set(Some(Instant::now()));
+        let at = self.unwritten_at.get().unwrap_or_else(Instant::now);
+        self.at.set(Some(at));
         self.signal.notify_waiters();
         let callback = self.callback.take();
         if let Some(callback) = callback {
-            callback();
+            callback(at);
         }
     }
 
     /// Registers a callback for the arrival, which must still be to come.
-    pub fn on_arrival(&self, callback: impl FnOnce() + 'static) {
+    pub fn on_arrival(&self, callback: impl FnOnce(Instant) + 'static) {
         self.callback.replace(Some(Box::new(callback)));
     }
 
--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -49,7 +49,10 @@
         let probe = if is_http_11 { Probe::InterimResponse } else { Probe::StatusLineByte };
         let socket = &client.socket;
         let arrival = Rc::<BodyArrival>::default();
-        let mut body_watch = std::pin::pin!(client.watch_body(&arrival));
+        let mut body_watch = std::pin::pin!(client.watch_body(&arrival, |unwritten_at| {
+            let time_limit = arrival.time_limit()?;
+            Some(unwritten_at + self.engine.time_limit(unwritten_at.into_std(), time_limit))
+        }));
         let parsed = tokio::select! {
             biased;
             parsed = self.parse_request(request, received_at, &arrival) => parsed,
--- a/crates/proxy/src/front/client.rs
+++ b/crates/proxy/src/front/client.rs
@@ -3,6 +3,7 @@
 use super::answer::{close_connection, reject};
 use super::close::{CloseReason, CloseStep, ConnectionEnd, EndCause};
 use super::head_reader::{HeadProgress, HeadReader};
+use super::upload_clock::{UploadClock, UploadProgress};
 use super::Server;
 use crate::body_arrival::BodyArrival;
 use crate::descriptors::DescriptorPermit;
@@ -128,18 +129,45 @@
     }
 
     /// Records in `arrival` when the last byte of the body of the request in progress has arrived, whether or
-    /// not it is read; never returns.
-    pub async fn watch_body(&self, arrival: &BodyArrival) -> Infallible {
+    /// not it is read; never returns. A body whose client may have written its end long ago counts as arrived
+    /// once the client's time is over: `due` returns when that is, for the moment of the last byte.
+    pub async fn watch_body(
+        &self,
+        arrival: &BodyArrival,
+        due: impl Fn(Instant) -> Option<Instant>,
+    ) -> Infallible {
+        let mut clock = UploadClock::new(self.heads.last_bytes_at.get().unwrap_or_else(Instant::now));
         while arrival.at().is_none() {
             if self.heads.unread_body.borrow_mut().has_arrived(&self.socket) {
                 arrival.record();
-            } else {
-                sleep(BODY_CHECK_INTERVAL).await;
+                break;
             }
+            let now = Instant::now();
+            let unwritten_at = clock.observe(now, self.upload_progress());
+            arrival.note_unwritten(unwritten_at);
+            if due(unwritten_at).is_some_and(|due| now >= due) {
+                tracing::info!(
+                    "{}: a body is given up: it has been held up by its node for {:?}, {} bytes are unread",
+                    self.peer,
+                    now - unwritten_at,
+                    self.socket.unread_bytes()
+                );
+                arrival.record();
+                break;
+            }
+            sleep(BODY_CHECK_INTERVAL).await;
         }
         std::future::pending().await
     }
 
+    fn upload_progress(&self) -> UploadProgress {
+        UploadProgress {
+            read: self.heads.bytes_read.get(),
+            unread: self.socket.unread_bytes() as u64,
+            missing: self.heads.unread_body.borrow().missing(&self.socket),
+        }
+    }
+
     /// Whether a part of a further request head has been read.
     fn has_partial_head(&self) -> bool {
         self.heads.partial_since.get().is_some()
--- a/crates/proxy/src/front/head_reader.rs
+++ b/crates/proxy/src/front/head_reader.rs
@@ -46,6 +46,8 @@
     pub unbounded_body: Cell<bool>,
     /// What is still to be read of the body that follows the last complete head.
     pub unread_body: RefCell<UnreadBody>,
+    /// Number of bytes that have been read from the connection.
+    pub bytes_read: Cell<u64>,
     /// How the input ended, once the end has been read.
     pub input_end: Cell<Option<InputEnd>>,
 }
@@ -72,7 +74,7 @@
         match read {
             Ok(0) => self.heads.input_end.set(Some(InputEnd::Closed)),
             Err(_) => self.heads.input_end.set(Some(InputEnd::Failed)),
-            Ok(_) => {}
+            Ok(count) => self.heads.bytes_read.set(self.heads.bytes_read.get() + count as u64),
         }
         Poll::Ready(read)
     }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! - `accept` admits connections and selects the one to close when descriptors run out;
 //! - `client` serves a connection, `head_reader` checks its request heads before hyper reads them, and `close`
 //!   describes its end; `clients` is the registry of the open connections;
+//! - `upload_clock` tells when a client may have written the last byte of a body;
 //! - `unread_body` tells whether the rest of a body has arrived, with `chunked_end` for chunked ones;
 //! - `request` parses a request, and `answer` responds to it;
 //! - `resources` has the limits of the process, and `shutdown` the graceful shutdown.
@@ -23,6 +24,7 @@
 mod startup;
 mod tasks;
 mod unread_body;
+mod upload_clock;
 
 pub use error::StartError;
 
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -82,6 +82,7 @@
     ) -> Result<ParsedRequest, Rejection> {
         let (head, body) = request.into_parts();
         let checked = self.check_head(&head)?;
+        arrival.set_time_limit(Duration::from_nanos(checked.time_left));
         let body =
             upload::read(body, checked.write, &self.budget, arrival, Duration::from_nanos(checked.time_left))
                 .await?;
--- a/crates/proxy/src/front/unread_body.rs
+++ b/crates/proxy/src/front/unread_body.rs
@@ -47,6 +47,14 @@
         }
     }
 
+    /// Returns how many bytes of the body have not arrived, if its length is known.
+    pub fn missing(&self, socket: &Socket) -> Option<u64> {
+        match self {
+            UnreadBody::Length(length) => Some(length.saturating_sub(socket.unread_bytes() as u64)),
+            UnreadBody::Chunked { .. } | UnreadBody::Unknown => None,
+        }
+    }
+
     /// Whether the rest of the body has arrived in the kernel's receive buffer of its connection.
     pub fn has_arrived(&mut self, socket: &Socket) -> bool {
         match self {
--- a/crates/proxy/src/socket/mod.rs
+++ b/crates/proxy/src/socket/mod.rs
@@ -103,6 +103,11 @@
         self.write_blocked.get() && self.last_write.get().elapsed() > timeout
     }
 
+    /// Whether bytes were written within this time.
+    pub fn wrote_within(&self, time: Duration) -> bool {
+        self.write_began.get() && self.last_write.get().elapsed() < time
+    }
+
     /// Prepares for a large body: lifts the limit on received bytes, which is enforced elsewhere, and limits
     /// the kernel's buffers.
     pub fn prepare_for_streaming(&self) {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -119,11 +119,21 @@
             biased;
             () = self.handle.never_sent() => Status::NotSent.into(),
             outcome = self.exchange() => outcome,
-            () = self.wait_for_timeout() => {
-                // A request that was not fully written was not processed by the node. `ConnectFailed` stands
-                // for that, even if a connection was opened and a part of the request was written.
-                if self.handle.is_written() { Status::Timeout } else { Status::ConnectFailed }.into()
-            }
+            () = self.wait_for_timeout() => self.timeout_status().into(),
+        }
+    }
+
+    /// Returns the status of an attempt whose time is over. A request that was not fully written was not
+    /// processed by the node: `ConnectFailed` stands for that, even if a connection was opened and a part of the
+    /// request was written. A node that was still reading a long body is slow, and does not count as failed.
+    fn timeout_status(&self) -> Status {
+        let has_upload = self.job.body.upload().is_some();
+        let was_reading = has_upload && self.handle.wrote_within(self.time_limit / 2);
+        match (self.handle.is_written(), was_reading) {
+            (true, false) => Status::Timeout,
+            (true, true) => Status::Cancelled,
+            (false, false) => Status::ConnectFailed,
+            (false, true) => Status::NotSent,
         }
     }
 
--- a/crates/proxy/src/upstream/handle.rs
+++ b/crates/proxy/src/upstream/handle.rs
@@ -77,6 +77,11 @@
             && self.socket.borrow().as_ref().is_some_and(|socket| socket.is_fully_written())
     }
 
+    /// Whether the node has accepted bytes of the request within this time.
+    pub(super) fn wrote_within(&self, time: Duration) -> bool {
+        self.socket.borrow().as_ref().is_some_and(|socket| socket.wrote_within(time))
+    }
+
     /// Whether the body of the request is streamed.
     pub(super) fn has_upload(&self) -> bool {
         self.upload.borrow().is_some()
--- a/crates/proxy/src/upstream/job.rs
+++ b/crates/proxy/src/upstream/job.rs
@@ -58,18 +58,19 @@
         self.body.upload().is_some_and(|upload| upload.arrival().at().is_none())
     }
 
-    fn on_body_received(&self, callback: impl FnOnce() + 'static) {
+    fn on_body_received(&self, callback: impl FnOnce(std::time::Instant) + 'static) {
         if let Some(upload) = self.body.upload() {
-            upload.arrival().on_arrival(callback);
+            upload.arrival().on_arrival(|at| callback(at.into_std()));
         }
     }
 
     /// Keeps only the arrival alive: keeping the job would also keep the client connection that its body
     /// belongs to.
-    async fn body_received(job: Weak<Job>) {
+    async fn body_received(job: Weak<Job>) -> std::time::Instant {
         let arrival = |job: Rc<Job>| job.body.upload().map(|upload| upload.arrival().clone());
-        if let Some(arrival) = job.upgrade().and_then(arrival) {
-            arrival.wait().await;
+        match job.upgrade().and_then(arrival) {
+            Some(arrival) => arrival.wait().await.into_std(),
+            None => std::time::Instant::now(),
         }
     }
 }
