Fix: an id that was sent and must not run twice does not run again

Cause: ids were known only while their requests had no answer, and to one process. A client that leaves ends its request, though the node may run it.

An id of which nothing was sent is free again. A repeated one is answered 409, logged and counted.

Writes go to the page cache on the serving thread, as the files of the operators' orders are read: a disk that hangs would hold it up.

--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -5,6 +5,7 @@
 use super::request::{ParsedRequest, Rejection};
 use super::Server;
 use crate::body_arrival::BodyArrival;
+use crate::metrics::Metric;
 use crate::relay::ResponseBody;
 use crate::socket::{PeerHandle, Presence, Probe};
 use crate::upstream::UpstreamResponse;
@@ -21,18 +22,6 @@
 /// but no longer than this.
 const MAX_PRESENCE_PROBE: Duration = Duration::from_millis(20);
 
-/// Reserves a request id until the request has been answered.
-struct OpenRequestId {
-    server: Rc<Server>,
-    id: HeaderValue,
-}
-
-impl Drop for OpenRequestId {
-    fn drop(&mut self) {
-        self.server.open_request_ids.borrow_mut().remove(&self.id);
-    }
-}
-
 impl Server {
     /// Serves a request that was received from `client`.
     pub(super) async fn respond(
@@ -58,7 +47,7 @@
             parsed = self.parse_request(request, received_at, &arrival) => parsed,
             never = &mut body_watch => match never {},
         };
-        let ParsedRequest { id, mut incoming } = match parsed {
+        let ParsedRequest { mut incoming, runs_once } = match parsed {
             Ok(parsed) => parsed,
             Err(Rejection { status, reason }) => {
                 tracing::debug!("{}: rejected with {status}: {reason}", client.peer);
@@ -74,12 +63,17 @@
         if is_streamed && client.heads.unread_body.borrow().is_chunked() {
             socket.prepare_for_streaming();
         }
-        // Nodes and the retry records identify a request by its id. A second open request with the same id
-        // comes from another client, and must not interfere with the first.
-        if !self.open_request_ids.borrow_mut().insert(id.clone()) {
-            return reject(StatusCode::CONFLICT, "a request with this X-Correlation-Id is open");
-        }
-        let open_id = OpenRequestId { server: self.clone(), id: id.clone() };
+        // Nodes and the retry records identify a request by its id.
+        let id = incoming.job.id.clone();
+        let reserved_id = match self.request_ids.reserve(&id, runs_once) {
+            Ok(reserved_id) => reserved_id,
+            Err(error) => {
+                self.metrics.count(Metric::RepeatedId);
+                tracing::info!("{}: rejected request {id:?}: {error}", client.peer);
+                return reject(StatusCode::CONFLICT, error.reason());
+            }
+        };
+        incoming.job.reserved_id = Some(reserved_id.clone());
         let is_head = incoming.job.method == Method::HEAD;
         // A client that closed its sending side before its request was read may have disconnected long ago,
         // and an attempt would then be sent for nobody.
@@ -100,7 +94,7 @@
             () = socket.closed_by_peer(probe) => client_gone(),
         };
         if response.body().is_streamed() {
-            response.body_mut().hold_until_sent(open_id);
+            response.body_mut().hold_until_sent(reserved_id);
         }
         response
     }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -38,17 +38,16 @@
 use crate::opening::OpenLimiter;
 use crate::operator_orders::OrderStore;
 use crate::peers::Peers;
+use crate::request_ids::RequestIds;
 use crate::startup::{StartPhase, StartTimer};
 use crate::upstream::Upstreams;
 use crate::{admin, Engine};
 use aniseyoke_core::EngineConfig;
 use aniseyoke_decision::api;
 use clients::Clients;
-use hyper::header::HeaderValue;
 use resources::ResourceLimits;
 use startup::{ClientListener, Parts};
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -88,8 +87,7 @@
     clients: Rc<Clients>,
     /// An accepted connection that waits for a descriptor of the budget.
     pending_connection: RefCell<Option<(TcpStream, SocketAddr)>>,
-    /// The ids of all requests in progress. The hash must be keyed, since clients choose the ids.
-    open_request_ids: RefCell<HashSet<HeaderValue>>,
+    request_ids: Rc<RequestIds>,
     metrics: Rc<Metrics>,
 }
 
@@ -157,7 +155,7 @@
     let peers = Peers::join(state_dir.clone());
     let limits = ResourceLimits::new(&config, engine_options.reserved_memory);
     let mgmt = config.mgmt;
-    let parts = startup::build(config, engine_options, &limits, &peers.other_claims(), handed_over)?;
+    let parts = startup::build(config, engine_options, &limits, &peers, handed_over)?;
     let Parts { server, watcher, watch_requests } = parts;
     (hooks.started)(server.engine.clone(), addr)?;
     start_timer.complete(StartPhase::Engine);
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -58,9 +58,9 @@
 
 /// A request that may be submitted to the engine.
 pub(super) struct ParsedRequest {
-    /// The id that the client chose.
-    pub(super) id: HeaderValue,
     pub(super) incoming: IncomingRequest<Job>,
+    /// Whether it must not run twice.
+    pub(super) runs_once: bool,
 }
 
 /// The checked head of a request.
@@ -90,16 +90,24 @@
             received_at = arrival.at().unwrap_or_else(Instant::now);
         }
         let request = self.engine_request(&head, &checked);
+        let runs_once = self.settings.classes[checked.class].idempotency != Idempotency::Idempotent;
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let uri = path.parse().map_err(|_| Rejection::bad_request("bad path"))?;
         let mut headers = head.headers;
         strip_hop_by_hop(&mut headers);
         // The forwarded request gets the actual length of the body.
         headers.remove(header::CONTENT_LENGTH);
-        let job =
-            Job { id: checked.id.clone(), method: head.method, uri, headers, body, client_handle: None };
+        let job = Job {
+            id: checked.id,
+            reserved_id: None,
+            method: head.method,
+            uri,
+            headers,
+            body,
+            client_handle: None,
+        };
         let incoming = IncomingRequest { request, job, received_at: received_at.into_std() };
-        Ok(ParsedRequest { id: checked.id, incoming })
+        Ok(ParsedRequest { incoming, runs_once })
     }
 
     /// Checks the head of a request, before its body is read.
--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -11,6 +11,8 @@
 use crate::discovery::EndpointWatcher;
 use crate::drain::Drain;
 use crate::metrics::Metrics;
+use crate::peers::Peers;
+use crate::request_ids::RequestIds;
 use crate::upstream::Upstreams;
 use crate::{handover, Engine};
 use std::cell::{Cell, RefCell};
@@ -60,11 +62,12 @@
     config: Config,
     options: EngineOptions,
     limits: &ResourceLimits,
-    other_claims: &[Option<usize>],
+    peers: &Peers,
     handed_over: bool,
 ) -> Result<Parts, StartError> {
-    let descriptors = DescriptorBudget::new(limits.max_connections(other_claims));
-    let budget = Budget::new(limits.max_buffered_bytes(other_claims));
+    let other_claims = peers.other_claims();
+    let descriptors = DescriptorBudget::new(limits.max_connections(&other_claims));
+    let budget = Budget::new(limits.max_buffered_bytes(&other_claims));
     let metrics = Metrics::new();
     let upstreams = Upstreams::new(
         descriptors.clone(),
@@ -100,7 +103,7 @@
         other_processes: Cell::new(0),
         clients: Rc::default(),
         pending_connection: RefCell::default(),
-        open_request_ids: RefCell::default(),
+        request_ids: RequestIds::new(peers.slot()),
         metrics,
     });
     Ok(Parts { server, watcher, watch_requests })
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod plan;
 mod relay;
+mod request_ids;
 mod serve;
 mod signals;
 mod socket;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -15,10 +15,13 @@
     TimedOut,
     /// An attempt was cancelled after the head of its answer had been received.
     Cancelled,
+    /// A request was rejected, since its id was in use or was sent before.
+    RepeatedId,
 }
 
 impl Metric {
-    const ALL: [Metric; 4] = [Metric::BrokenByNode, Metric::NotTaken, Metric::TimedOut, Metric::Cancelled];
+    const ALL: [Metric; 5] =
+        [Metric::BrokenByNode, Metric::NotTaken, Metric::TimedOut, Metric::Cancelled, Metric::RepeatedId];
 
     fn name(self) -> &'static str {
         match self {
@@ -26,6 +29,7 @@
             Metric::NotTaken => "answers_not_taken",
             Metric::TimedOut => "answers_timed_out",
             Metric::Cancelled => "answers_cancelled",
+            Metric::RepeatedId => "repeated_ids",
         }
     }
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 /// Most processes of one proxy that can run at once.
-const MAX_PROCESSES: usize = 4;
+pub const MAX_PROCESSES: usize = 4;
 /// Number of digits of a claim in its file.
 const CLAIM_DIGITS: usize = 10;
 /// How many times each slot is tried.
@@ -20,6 +20,15 @@
     file: File,
 }
 
+/// The place of a process among the processes of its proxy.
+#[derive(Clone, Debug)]
+pub struct SharedSlot {
+    /// The folder that all processes of the proxy share.
+    pub dir: PathBuf,
+    /// The number of the slot, below [`MAX_PROCESSES`]; no other running process has it.
+    pub number: usize,
+}
+
 /// This process's slot, and the folder with the slots of all processes of the proxy.
 pub struct Peers {
     dir: Option<PathBuf>,
@@ -39,6 +48,12 @@
         Peers { dir, own }
     }
 
+    /// Returns the slot of this process, if it has one.
+    pub fn slot(&self) -> Option<SharedSlot> {
+        let (dir, own) = (self.dir.as_ref()?, self.own.as_ref()?);
+        Some(SharedSlot { dir: dir.clone(), number: own.number })
+    }
+
     /// Publishes the number of descriptors that this process uses at most from now on.
     pub fn claim(&self, descriptors: usize) {
         if let Some(Slot { file, .. }) = &self.own {
--- /dev/null
+++ b/crates/proxy/src/request_ids/tests.rs
@@ -0,0 +1,62 @@
+use super::table::{IdHash, IdTable, BUCKET_ENTRIES};
+use super::*;
+use crate::peers::Peers;
+
+fn id(text: &str) -> HeaderValue {
+    HeaderValue::from_str(text).expect("a header")
+}
+
+/// Guards against an id that blocks others, or later uses, although nothing was sent for it.
+#[test]
+fn an_id_is_free_again_unless_it_was_sent_and_must_not_run_twice() {
+    let ids = RequestIds::new(None);
+    let first = ids.reserve(&id("a"), true).expect("free");
+    assert_eq!(ids.reserve(&id("a"), false).err(), Some(IdError::Open));
+    drop(first);
+    let second = ids.reserve(&id("a"), true).expect("free again");
+    second.mark_sent();
+    drop(second);
+    assert_eq!(ids.reserve(&id("a"), true).err(), Some(IdError::Sent));
+    // The refused one leaves nothing behind, and a request that may run twice is not concerned.
+    let repeatable = ids.reserve(&id("a"), false).expect("free");
+    repeatable.mark_sent();
+    drop(repeatable);
+    assert!(ids.reserve(&id("b"), true).is_ok());
+}
+
+/// Guards against an id that runs at two processes of a proxy.
+#[test]
+fn processes_see_each_others_ids_and_those_of_earlier_ones() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let dir = Some(folder.path().to_path_buf());
+    let (old_peers, new_peers) = (Peers::join(dir.clone()), Peers::join(dir.clone()));
+    let (old, new) = (RequestIds::new(old_peers.slot()), RequestIds::new(new_peers.slot()));
+    let sent = old.reserve(&id("old"), true).expect("free");
+    sent.mark_sent();
+    assert_eq!(new.reserve(&id("old"), true).err(), Some(IdError::Sent));
+    drop(sent);
+    new.reserve(&id("new"), true).expect("free").mark_sent();
+    assert_eq!(old.reserve(&id("new"), true).err(), Some(IdError::Sent));
+    // An id that was refused at one process is not recorded by it.
+    drop((old, old_peers));
+    let third_peers = Peers::join(dir);
+    let third = RequestIds::new(third_peers.slot());
+    for known in ["old", "new"] {
+        assert_eq!(third.reserve(&id(known), true).err(), Some(IdError::Sent), "{known}");
+    }
+    assert!(third.reserve(&id("free"), true).is_ok());
+}
+
+/// Guards against a table that grows, or that forgets new ids before old ones.
+#[test]
+fn a_full_bucket_forgets_its_oldest_id() {
+    let mut table = IdTable::new();
+    let ids: Vec<_> = (1..=2 * BUCKET_ENTRIES as u64).map(|n| IdHash::new(n << 40 | 7)).collect();
+    for (position, id) in ids.iter().enumerate() {
+        assert!(!table.contains(*id));
+        table.insert(*id);
+        let known: Vec<_> = ids[..=position].iter().filter(|id| table.contains(**id)).collect();
+        let newest = &ids[(position + 1).saturating_sub(BUCKET_ENTRIES)..=position];
+        assert_eq!(known, newest.iter().collect::<Vec<_>>());
+    }
+}
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -261,6 +261,7 @@
             epoch,
             handle: Rc::downgrade(self.handle),
             client_handle: self.job.client_handle.clone(),
+            reserved_id: self.job.reserved_id.as_ref().map(Rc::downgrade).unwrap_or_default(),
             checked_at,
             deadline: self.deadline,
         }
--- a/crates/proxy/src/upstream/job.rs
+++ b/crates/proxy/src/upstream/job.rs
@@ -1,6 +1,7 @@
 //! A client's request, as attempts send it.
 
 use super::handle::AttemptHandle;
+use crate::request_ids::ReservedId;
 use crate::socket::{PeerHandle, Presence};
 use crate::upload::Payload;
 use hyper::header::HeaderValue;
@@ -13,6 +14,8 @@
     /// The id that the client chose.
     pub id: HeaderValue,
     pub method: Method,
+    /// Reserves the id until the last attempt has ended.
+    pub reserved_id: Option<Rc<ReservedId>>,
     /// The path and query.
     pub uri: Uri,
     /// The headers that are forwarded.
--- a/crates/proxy/src/upstream/tests.rs
+++ b/crates/proxy/src/upstream/tests.rs
@@ -22,6 +22,7 @@
     let uri = Uri::from_static("/read/1");
     Rc::new(Job {
         id: HeaderValue::from_static("id"),
+        reserved_id: None,
         method: Method::GET,
         uri,
         headers: HeaderMap::new(),
--- a/crates/proxy/src/upstream/write_check.rs
+++ b/crates/proxy/src/upstream/write_check.rs
@@ -4,6 +4,7 @@
 
 use super::handle::AttemptHandle;
 use super::Upstreams;
+use crate::request_ids::ReservedId;
 use crate::socket::{FirstWriteCheck, PeekedPresence, PeerHandle};
 use aniseyoke_decision::api::ServerId;
 use std::rc::Weak;
@@ -25,6 +26,8 @@
     pub handle: Weak<AttemptHandle>,
     /// The client that waits for the answer.
     pub client_handle: Option<PeerHandle>,
+    /// The id of the request, noted as sent when the write is allowed.
+    pub reserved_id: Weak<ReservedId>,
     /// When the presence of the client was last checked.
     pub checked_at: Instant,
     /// The deadline of the attempt.
@@ -49,6 +52,12 @@
                 PeekedPresence::Unknown => self.checked_at.elapsed() < PRESENCE_VALIDITY,
                 PeekedPresence::Gone => false,
             };
-        present.then_some(left)
+        if !present {
+            return None;
+        }
+        if let Some(reserved_id) = self.reserved_id.upgrade() {
+            reserved_id.mark_sent();
+        }
+        Some(left)
     }
 }
