Fix: hundreds of slow readers stay within the memory limit

Cause: a streamed answer was not counted. Up to 64 KiB that had been read ahead left the budget as soon as streaming began, though a slow reader's write queue holds them; beyond that hyper read on into a queue of up to 32 KiB, and in pieces of 16 KiB; the id kept the whole head. Connections were counted at 32 KiB each.

Fix: data keeps its reservation until its last part is dropped. Answers have a budget of their own, so that slow readers take no memory from uploads. A body is not read on while its client has bytes to take; with more streams than the budget has room for they are read in pieces of 4 KiB. Ids are copies.

--- a/crates/proxy/src/budget/tests.rs
+++ b/crates/proxy/src/budget/tests.rs
@@ -14,3 +14,17 @@
     drop(second);
     assert!(budget.reserve(70).is_some());
 }
+
+/// Guards against memory that is counted as free while a slow reader's write queue holds it.
+#[test]
+fn data_keeps_its_reservation_until_its_last_part_is_dropped() {
+    let budget = Budget::new(100);
+    let data = budget.reserve(100).expect("room").hold(vec![7; 60]);
+    assert!(budget.reserve(41).is_none() && budget.reserve(40).is_some());
+    let part = data.slice(50..);
+    drop(data);
+    assert!(budget.reserve(41).is_none());
+    assert_eq!(part.as_ref(), [7; 10]);
+    drop(part);
+    assert!(budget.reserve(100).is_some());
+}
--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -164,7 +164,7 @@
 }
 
 fn text_response(status: StatusCode, text: &'static str) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::buffered(Bytes::from_static(text.as_bytes()), None));
+    let mut response = Response::new(ResponseBody::buffered(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
--- a/crates/proxy/src/front/client.rs
+++ b/crates/proxy/src/front/client.rs
@@ -292,6 +292,7 @@
                     if response.body().is_streamed() {
                         client.socket.prepare_for_streaming();
                         client.streams_answer.set(true);
+                        response.body_mut().follow(client.socket.clone());
                         response.body_mut().hold_until_sent(open_request);
                     }
                     Ok::<_, Infallible>(response)
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -78,7 +78,10 @@
     engine: Rc<Engine>,
     upstreams: Rc<Upstreams>,
     descriptors: Rc<DescriptorBudget>,
-    budget: Rc<Budget>,
+    /// For the bodies of requests.
+    budget: Arc<Budget>,
+    /// For answers, which slow readers may hold for long.
+    answer_budget: Arc<Budget>,
     settings: api::Settings,
     names: Rc<Names>,
     drain: Rc<Drain>,
@@ -240,6 +243,7 @@
             limits.claim(peers, connections);
         }
         self.budget.set_limit(limits.max_buffered_bytes(&other_claims));
+        self.answer_budget.set_limit(limits.max_answer_bytes(&other_claims));
         if connections != self.descriptors.limit() {
             self.descriptors.set_limit(connections);
         }
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -131,7 +131,9 @@
         };
         let id = single_value(head, &CORRELATION_ID, "more than one X-Correlation-Id")?;
         let id = id.filter(|id| is_valid_id(id));
-        let id = id.ok_or(Rejection::bad_request("no X-Correlation-Id, or a bad one"))?.clone();
+        let id = id.and_then(|id| HeaderValue::from_bytes(id.as_bytes()).ok());
+        // A copy, since the id outlives the head, whose buffer it would keep.
+        let id = id.ok_or(Rejection::bad_request("no X-Correlation-Id, or a bad one"))?;
         let idempotency_key = single_value(head, &IDEMPOTENCY_KEY, "more than one Idempotency-Key")?;
         if write
             && settings.idempotency == Idempotency::WithKey
--- a/crates/proxy/src/front/resources.rs
+++ b/crates/proxy/src/front/resources.rs
@@ -9,6 +9,9 @@
 const BASE_DESCRIPTORS: usize = 20 + peers::MAX_PROCESSES + discovery::DESCRIPTORS;
 /// Memory that is not available to connections, in bytes.
 const BASE_MEMORY: usize = 8 << 20;
+/// Memory of a connection, in bytes: a full read buffer, a full write buffer, and the headers and the state of a
+/// request.
+const CONNECTION_BYTES: usize = 3 * MAX_READ_BUFFER_BYTES + (4 << 10);
 /// Number of connections that a process may always hold.
 const MIN_CONNECTIONS: usize = 8;
 
@@ -36,14 +39,18 @@
 
     /// Returns the number of connections that this process may hold besides others with these claims.
     pub fn max_connections(&self, other_claims: &[Option<usize>]) -> usize {
-        // Each connection may hold a full read buffer and a full write buffer.
-        let by_memory = self.memory / (other_claims.len() + 1) / 4 * 3 / (2 * MAX_READ_BUFFER_BYTES);
+        let by_memory = self.memory / (other_claims.len() + 1) / 4 * 3 / CONNECTION_BYTES;
         let descriptors = peers::remaining_descriptors(self.max_descriptors, other_claims)
             .saturating_sub(self.base_descriptors);
         descriptors.min(by_memory).max(MIN_CONNECTIONS)
     }
 
-    /// Returns the bytes of bodies that this process may buffer besides others with these claims.
+    /// Returns the bytes of answers that this process may buffer besides others with these claims.
+    pub fn max_answer_bytes(&self, other_claims: &[Option<usize>]) -> usize {
+        self.max_buffered_bytes(other_claims) / 4
+    }
+
+    /// Returns the bytes of request bodies that this process may buffer besides others with these claims.
     pub fn max_buffered_bytes(&self, other_claims: &[Option<usize>]) -> usize {
         (self.memory / (other_claims.len() + 1) / 4).max(2 * MAX_BUFFERED_BODY_BYTES)
     }
--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -68,10 +68,11 @@
     let other_claims = peers.other_claims();
     let descriptors = DescriptorBudget::new(limits.max_connections(&other_claims));
     let budget = Budget::new(limits.max_buffered_bytes(&other_claims));
+    let answer_budget = Budget::new(limits.max_answer_bytes(&other_claims));
     let metrics = Metrics::new();
     let upstreams = Upstreams::new(
         descriptors.clone(),
-        budget.clone(),
+        answer_budget.clone(),
         config.connect_timeout,
         config.settings.idle_timeout,
         options.opening,
@@ -97,6 +98,7 @@
         upstreams,
         descriptors,
         budget,
+        answer_budget,
         settings: config.settings,
         names,
         drain: Rc::<Drain>::default(),
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -1,7 +1,7 @@
 //! The body of an answer to a client: buffered, or streamed as it comes from the node.
 
-use super::budget::Reservation;
 use super::metrics::{Metric, Metrics};
+use super::socket::Socket;
 use super::MAX_STREAMED_BODY_BYTES;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
@@ -79,10 +79,15 @@
         }
     }
 
+    /// Gives the node its full time again, since nothing was read from it.
+    fn postpone_stall(&mut self) {
+        self.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+    }
+
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         if let Some(read_ahead) = self.read_ahead.take() {
             self.ended = self.rest.is_end_stream();
-            self.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+            self.postpone_stall();
             return Poll::Ready(Some(Ok(read_ahead)));
         }
         loop {
@@ -99,7 +104,7 @@
                 }
                 Poll::Ready(Some(Err(e))) => return Poll::Ready(Some(Err(io::Error::other(e)))),
                 Poll::Ready(Some(Ok(frame))) => {
-                    self.stall_timer.as_mut().reset(Instant::now() + STALL_TIMEOUT);
+                    self.postpone_stall();
                     self.ended = self.rest.is_end_stream();
                     // Trailers are hop-by-hop: they are not forwarded.
                     let Ok(data) = frame.into_data() else { continue };
@@ -136,15 +141,16 @@
 /// The body of an answer to a client: buffered or streamed.
 pub struct ResponseBody {
     kind: BodyKind,
+    /// The connection that the body is written to, if it is streamed.
+    receiver: Option<Rc<Socket>>,
     /// Values that are dropped once the body has been sent.
     guards: Vec<Box<dyn Any>>,
 }
 
 impl ResponseBody {
-    /// Creates a buffered body that holds its reservation in the budget.
-    pub fn buffered(bytes: Bytes, reservation: Option<Reservation>) -> Self {
-        let guards = reservation.map(|reservation| Box::new(reservation) as Box<dyn Any>);
-        ResponseBody { kind: BodyKind::Buffered(Some(bytes)), guards: guards.into_iter().collect() }
+    /// Creates a buffered body.
+    pub fn buffered(bytes: Bytes) -> Self {
+        ResponseBody { kind: BodyKind::Buffered(Some(bytes)), receiver: None, guards: Vec::new() }
     }
 
     /// Whether the body is streamed.
@@ -152,6 +158,11 @@
         matches!(self.kind, BodyKind::Streamed(_))
     }
 
+    /// Reads no more of the body while bytes are still to be written to this connection.
+    pub fn follow(&mut self, receiver: Rc<Socket>) {
+        self.receiver = Some(receiver);
+    }
+
     /// Keeps `value` until the body has been sent, then drops it.
     pub fn hold_until_sent(&mut self, value: impl Any) {
         self.guards.push(Box::new(value));
@@ -160,7 +171,7 @@
 
 impl From<StreamedBody> for ResponseBody {
     fn from(streamed: StreamedBody) -> Self {
-        ResponseBody { kind: BodyKind::Streamed(Box::new(streamed)), guards: Vec::new() }
+        ResponseBody { kind: BodyKind::Streamed(Box::new(streamed)), receiver: None, guards: Vec::new() }
     }
 }
 
@@ -172,9 +183,14 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let next = match &mut self.kind {
+        let this = &mut *self;
+        let next = match &mut this.kind {
             BodyKind::Buffered(bytes) => bytes.take().map(Ok),
             BodyKind::Streamed(streamed) => {
+                if this.receiver.as_ref().is_some_and(|receiver| receiver.poll_flushed(cx).is_pending()) {
+                    streamed.postpone_stall();
+                    return Poll::Pending;
+                }
                 let next = ready!(streamed.poll_data(cx));
                 if let Some(Err(error)) = &next {
                     streamed.failed = true;
--- a/crates/proxy/src/socket/io.rs
+++ b/crates/proxy/src/socket/io.rs
@@ -34,6 +34,8 @@
 impl Io {
     /// Reads into `buffer`; returns 0 if the peer has ended its sending.
     pub fn poll_read_into(&self, cx: &mut Context<'_>, buffer: &mut [u8]) -> Poll<io::Result<usize>> {
+        let length = buffer.len().min(self.0.max_read.get());
+        let buffer = &mut buffer[..length];
         loop {
             ready!(self.0.stream.poll_read_ready(cx))?;
             match uninterrupted(|| self.0.stream.try_read(buffer)) {
@@ -148,6 +150,9 @@
         // Hyper flushes the stream once its own buffer, which holds the complete message, is empty.
         self.0.write_blocked.set(false);
         self.0.fully_written.set(self.0.write_began.get());
+        if let Some(waker) = self.0.flush_waker.take() {
+            waker.wake();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/crates/proxy/src/socket/mod.rs
+++ b/crates/proxy/src/socket/mod.rs
@@ -22,6 +22,7 @@
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
@@ -41,10 +42,14 @@
     fully_written: Cell<bool>,
     /// Whether the kernel's buffer is full, so that hyper has bytes still to write.
     write_blocked: Cell<bool>,
+    /// Woken once all bytes have been written.
+    flush_waker: RefCell<Option<Waker>>,
     /// When bytes were last written.
     last_write: Cell<Instant>,
     /// How many more bytes may be received.
     max_incoming: Cell<usize>,
+    /// How many bytes are read at once at most.
+    max_read: Cell<usize>,
     /// The check before the first byte of the message is written.
     first_write_check: RefCell<Option<Box<dyn FirstWriteCheck>>>,
     /// Whether the check forbade the write.
@@ -64,8 +69,10 @@
             write_began: Cell::new(false),
             fully_written: Cell::new(false),
             write_blocked: Cell::new(false),
+            flush_waker: RefCell::default(),
             last_write: Cell::new(Instant::now()),
             max_incoming: Cell::new(usize::MAX),
+            max_read: Cell::new(usize::MAX),
             first_write_check: RefCell::default(),
             withheld: Cell::new(false),
             peer: PeerState::default(),
@@ -78,6 +85,7 @@
     pub fn begin_message(&self, max_incoming: usize, check: Box<dyn FirstWriteCheck>) {
         self.first_write_check.replace(Some(check));
         self.max_incoming.set(max_incoming);
+        self.max_read.set(usize::MAX);
         self.write_began.set(false);
         self.fully_written.set(false);
     }
@@ -98,6 +106,20 @@
         self.write_blocked.get()
     }
 
+    /// Limits how many bytes are read at once, until the next message: hyper's buffers follow the size of the reads.
+    pub fn limit_reads(&self, max_read: usize) {
+        self.max_read.set(max_read);
+    }
+
+    /// Completes once no bytes are still to be written.
+    pub fn poll_flushed(&self, cx: &Context<'_>) -> Poll<()> {
+        if !self.write_blocked.get() {
+            return Poll::Ready(());
+        }
+        self.flush_waker.replace(Some(cx.waker().clone()));
+        Poll::Pending
+    }
+
     /// Whether bytes are still to be written and none could be for longer than `timeout`.
     pub fn is_stuck(&self, timeout: Duration) -> bool {
         self.write_blocked.get() && self.last_write.get().elapsed() > timeout
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -1,7 +1,7 @@
 //! The body of a client's request: buffered if it is small, else streamed to the node as it is received.
 
 use super::body_arrival::BodyArrival;
-use super::budget::{Budget, Reservation};
+use super::budget::Budget;
 use super::{MAX_BUFFERED_BODY_BYTES, MAX_STREAMED_BODY_BYTES};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
@@ -10,6 +10,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use thiserror::Error;
@@ -44,31 +45,31 @@
 
 /// The body of a client's request, as attempts send it.
 pub enum Payload {
-    Buffered { bytes: Bytes, _reservation: Option<Reservation> },
+    Buffered(Bytes),
     Streamed(Rc<Upload>),
 }
 
 impl Payload {
     pub fn empty() -> Self {
-        Payload::Buffered { bytes: Bytes::new(), _reservation: None }
+        Payload::Buffered(Bytes::new())
     }
 
     /// Whether the body is buffered and empty.
     pub fn is_empty(&self) -> bool {
-        matches!(self, Payload::Buffered { bytes, .. } if bytes.is_empty())
+        matches!(self, Payload::Buffered(bytes) if bytes.is_empty())
     }
 
     /// Returns the body for one more attempt; `None` if it can't be sent again.
     pub fn for_attempt(&self) -> Option<AttemptBody> {
         match self {
-            Payload::Buffered { bytes, .. } => Some(AttemptBody::Buffered(Full::new(bytes.clone()))),
+            Payload::Buffered(bytes) => Some(AttemptBody::Buffered(Full::new(bytes.clone()))),
             Payload::Streamed(upload) => Upload::for_attempt(upload).map(AttemptBody::Streamed),
         }
     }
 
     pub fn upload(&self) -> Option<&Rc<Upload>> {
         match self {
-            Payload::Buffered { .. } => None,
+            Payload::Buffered(_) => None,
             Payload::Streamed(upload) => Some(upload),
         }
     }
@@ -94,7 +95,7 @@
 pub async fn read(
     mut body: Incoming,
     allow_large: bool,
-    budget: &Rc<Budget>,
+    budget: &Arc<Budget>,
     arrival: &Rc<BodyArrival>,
     time_left: Duration,
 ) -> Result<Payload, UploadError> {
@@ -115,7 +116,7 @@
         None => started_at.elapsed() > MAX_BUDGET_WAIT,
         Some(arrived_at) => arrived_at.elapsed() > time_left / 2 || started_at.elapsed() > STALL_TIMEOUT,
     };
-    let mut reservation = loop {
+    let reservation = loop {
         match budget.reserve(reserved_bytes) {
             Some(reservation) => break reservation,
             None if waits_too_long() => return Err(UploadError::NoRoom),
@@ -142,10 +143,9 @@
             return Err(UploadError::TooLarge);
         }
         read_ahead.extend_from_slice(&data);
-        reservation.shrink(read_ahead.len());
         let upload = Upload {
             length: size.exact(),
-            read_ahead: RefCell::new(Some((read_ahead.into(), reservation))),
+            read_ahead: RefCell::new(Some(reservation.hold(read_ahead))),
             rest: RefCell::new(Some((body, rate))),
             arrival: arrival.clone(),
             read_to_end: Cell::new(false),
@@ -154,15 +154,14 @@
         return Ok(Payload::Streamed(Rc::new(upload)));
     }
     arrival.record();
-    reservation.shrink(read_ahead.len());
-    Ok(Payload::Buffered { bytes: read_ahead.into(), _reservation: Some(reservation) })
+    Ok(Payload::Buffered(reservation.hold(read_ahead)))
 }
 
 /// A body that is streamed to a node as it is received.
 pub struct Upload {
     length: Option<u64>,
-    /// The bytes read before streaming began, and their reservation; dropped when an attempt reads further.
-    read_ahead: RefCell<Option<(Bytes, Reservation)>>,
+    /// The bytes read before streaming began; dropped when an attempt reads further.
+    read_ahead: RefCell<Option<Bytes>>,
     /// The rest of the body; taken by the first attempt that reads further.
     rest: RefCell<Option<(Incoming, ReceiveRate)>>,
     arrival: Rc<BodyArrival>,
@@ -174,7 +173,7 @@
 impl Upload {
     /// Returns the body for one more attempt; `None` if an attempt has read bytes that are not buffered.
     fn for_attempt(upload: &Rc<Upload>) -> Option<UploadBody> {
-        let read_ahead = upload.read_ahead.borrow().as_ref().map(|(read_ahead, _)| read_ahead.clone())?;
+        let read_ahead = upload.read_ahead.borrow().clone()?;
         let stall_timer = Box::pin(sleep(STALL_TIMEOUT));
         Some(UploadBody {
             upload: upload.clone(),
--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -1,7 +1,7 @@
 //! Reading a node's answer, and the state of the node that its head reports.
 
 use super::{Outcome, UpstreamResponse};
-use crate::budget::Budget;
+use crate::budget::{Budget, Reservation};
 use crate::relay::{ResponseBody, StreamRecord, StreamedBody};
 use crate::{MAX_BUFFERED_BODY_BYTES, MAX_STREAMED_BODY_BYTES};
 use aniseyoke_decision::api::{Load, Status};
@@ -10,7 +10,7 @@
 use hyper::header::{HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode, Version};
-use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
 
@@ -57,7 +57,7 @@
 /// attempt.
 pub(super) async fn receive(
     response: Response<Incoming>,
-    budget: &Rc<Budget>,
+    budget: &Arc<Budget>,
     deadline: Instant,
 ) -> Received {
     if is_malformed(&response) {
@@ -69,10 +69,10 @@
     let reserved_bytes = size
         .exact()
         .map_or(MAX_BUFFERED_BODY_BYTES, |length| length.min(MAX_BUFFERED_BODY_BYTES as u64) as usize);
-    let mut reservation = if small { budget.reserve(reserved_bytes) } else { None };
+    let reservation = if small { budget.reserve(reserved_bytes) } else { None };
     let mut read_ahead = Vec::new();
     if reservation.is_none() && status(&head) == Status::Ok && !body.is_end_stream() {
-        return Received::Streamed(StreamedAnswer { head, read_ahead: read_ahead.into(), rest: body });
+        return Received::Streamed(StreamedAnswer { head, read_ahead: Bytes::new(), rest: body });
     }
     // An answer of unknown length may be large; buffering a slow one would delay its first bytes.
     let unknown_length = size.exact().is_none() && status(&head) == Status::Ok;
@@ -84,7 +84,7 @@
             biased;
             frame = body.frame() => frame,
             () = &mut buffer_timeout, if unknown_length => {
-                return Received::Streamed(StreamedAnswer { head, read_ahead: read_ahead.into(), rest: body });
+                return Received::Streamed(StreamedAnswer { head, read_ahead: hold(reservation, read_ahead), rest: body });
             }
         };
         let Some(frame) = frame else { break };
@@ -94,23 +94,30 @@
         read_ahead.extend_from_slice(&data);
         if reservation.is_none() || read_ahead.len() > MAX_BUFFERED_BODY_BYTES {
             return match status(&head) {
-                Status::Ok => {
-                    Received::Streamed(StreamedAnswer { head, read_ahead: read_ahead.into(), rest: body })
-                }
+                Status::Ok => Received::Streamed(StreamedAnswer {
+                    head,
+                    read_ahead: hold(reservation, read_ahead),
+                    rest: body,
+                }),
                 // A long error body is not read to its end.
                 _ => Received::Unusable,
             };
         }
     }
-    if let Some(reservation) = &mut reservation {
-        reservation.shrink(read_ahead.len());
-    }
     let (status, hit, load) = (status(&head), hit(&head.headers), load(&head.headers));
     let answer: Option<UpstreamResponse> = (status == Status::Ok)
-        .then(|| Response::from_parts(head, ResponseBody::buffered(read_ahead.into(), reservation)));
+        .then(|| Response::from_parts(head, ResponseBody::buffered(hold(reservation, read_ahead))));
     Received::Complete(Outcome { status, hit, load, answer })
 }
 
+/// Returns what was read of an answer, with its reservation if it has one.
+fn hold(reservation: Option<Reservation>, read_ahead: Vec<u8>) -> Bytes {
+    match reservation {
+        Some(reservation) => reservation.hold(read_ahead),
+        None => read_ahead.into(),
+    }
+}
+
 /// Whether an answer's head is invalid: a protocol switch, contradictory framing, a length over the limit, or
 /// no length on a connection that stays open, where the end of the body can't be determined.
 fn is_malformed(response: &Response<Incoming>) -> bool {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -187,18 +187,22 @@
         let response = connection.sender.send_request(self.request(body, addr)).await;
         let Ok(response) = response else { return Err(self.send_error(&connection, reused)) };
         self.log.head_received();
-        match receive(response, &self.pool.budget, self.deadline).await {
+        match receive(response, &self.pool.answer_budget, self.deadline).await {
             Received::Unusable => Err(TryError::Ended(Status::Reset)),
             Received::Complete(outcome) => {
                 self.connection_use(epoch, connection).end();
                 Ok(outcome)
             }
             Received::Streamed(answer) => {
-                connection.socket.prepare_for_streaming();
+                let stream = self.pool.begin_stream(&connection);
                 let connection_use = self.connection_use(epoch, connection);
                 let record =
                     StreamRecord { metrics: self.pool.metrics.clone(), request_id: self.job.id.clone() };
-                Ok(answer.into_outcome(record, move || connection_use.end()))
+                let on_complete = move || {
+                    drop(stream);
+                    connection_use.end();
+                };
+                Ok(answer.into_outcome(record, on_complete))
             }
         }
     }
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -21,6 +21,7 @@
 use crate::metrics::Metrics;
 use crate::opening::OpenLimiter;
 use crate::relay::ResponseBody;
+use crate::MAX_BUFFERED_BODY_BYTES;
 use aniseyoke_core::{AttemptOutcome, Transport};
 use aniseyoke_decision::api::{Entry, Nanos, ServerId, State, Status};
 use aniseyoke_sockets::{connect, ConnectError};
@@ -33,15 +34,29 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
 
 /// How often an attempt that waits for a permit to open a connection looks for an idle connection.
 const PERMIT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Each streamed answer takes up to four reads of memory. While there are more of them than the budget for answers has
+/// room for at full size, they are read in pieces of this size.
+const SMALL_READ_BYTES: usize = 4 << 10;
+
 /// A node's answer, as forwarded to the client.
 pub type UpstreamResponse = Response<ResponseBody>;
 
+/// Counts an answer as streamed.
+struct StreamGuard(Rc<Cell<usize>>);
+
+impl Drop for StreamGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// How an attempt ended.
 type Outcome = AttemptOutcome<UpstreamResponse>;
 
@@ -61,13 +76,15 @@
     /// Nodes banned by operators, listed or not.
     banned: RefCell<FxHashSet<ServerId>>,
     descriptors: Rc<DescriptorBudget>,
-    budget: Rc<Budget>,
+    answer_budget: Arc<Budget>,
     connect_timeout: Duration,
     /// How long a connection may be idle and still be reused.
     max_idle: Duration,
     last_epoch: Cell<u64>,
     /// Rate limits on opening connections, if configured.
     opening: Option<RefCell<OpenLimiter>>,
+    /// Number of answers that are being streamed.
+    streams: Rc<Cell<usize>>,
     metrics: Rc<Metrics>,
 }
 
@@ -151,7 +168,7 @@
     /// close them right after the answer, and no connection is reused.
     pub fn new(
         descriptors: Rc<DescriptorBudget>,
-        budget: Rc<Budget>,
+        answer_budget: Arc<Budget>,
         connect_timeout: Duration,
         idle_time: Nanos,
         opening: Option<OpenLimiter>,
@@ -161,13 +178,14 @@
             nodes: RefCell::default(),
             banned: RefCell::default(),
             descriptors,
-            budget,
+            answer_budget,
             connect_timeout,
             // A request written to a connection that its node is just closing ends in a reset and may have
             // run. The node measures from its own last byte, so only 3/4 of its idle time is used here.
             max_idle: Duration::from_nanos(idle_time / 4 * 3),
             last_epoch: Cell::new(0),
             opening: opening.map(RefCell::new),
+            streams: Rc::default(),
             metrics,
         })
     }
@@ -189,6 +207,16 @@
         oldest.map(|node| node.idle.remove(0)).is_some()
     }
 
+    /// Counts an answer that is streamed over this connection until the returned value is dropped.
+    fn begin_stream(&self, connection: &Connection) -> StreamGuard {
+        connection.socket.prepare_for_streaming();
+        if self.streams.get() >= self.answer_budget.limit() / MAX_BUFFERED_BODY_BYTES {
+            connection.socket.limit_reads(SMALL_READ_BYTES);
+        }
+        self.streams.set(self.streams.get() + 1);
+        StreamGuard(self.streams.clone())
+    }
+
     fn next_epoch(&self) -> u64 {
         self.last_epoch.set(self.last_epoch.get() + 1);
         self.last_epoch.get()
--- a/crates/proxy/tests/crowded_memory.rs
+++ b/crates/proxy/tests/crowded_memory.rs
@@ -29,6 +29,8 @@
     ManyFields,
     /// Asks for a long answer and reads a few bytes at a time.
     SlowReader,
+    /// Asks for a long answer with a head of the greatest length, and reads nothing.
+    NonReader,
 }
 
 /// A client of the crowd on a connection that doesn't block.
@@ -67,10 +69,11 @@
                 let end = if random.chance(50) { "\r\n" } else { "" };
                 format!("GET /read/{id} HTTP/1.1\r\n{head}{fields}{end}").into_bytes()
             }
-            Behaviour::SlowReader => {
-                let value = "x".repeat(random.between(0, 140));
-                let fields: String =
-                    (0..random.between(0, 90)).map(|n| format!("f{n}: {value}\r\n")).collect();
+            Behaviour::SlowReader | Behaviour::NonReader => {
+                let fullest = behaviour == Behaviour::NonReader;
+                let value = "x".repeat(if fullest { 140 } else { random.between(0, 140) });
+                let count = if fullest { 90 } else { random.between(0, 90) };
+                let fields: String = (0..count).map(|n| format!("f{n}: {value}\r\n")).collect();
                 format!("GET /read/{id} HTTP/1.1\r\n{head}{fields}\r\n").into_bytes()
             }
         };
@@ -78,6 +81,7 @@
             Behaviour::SlowWriter => (random.between(200, 3000), 4096),
             Behaviour::ManyFields => (random.between(50, 20_000), 4096),
             Behaviour::SlowReader => (to_write.len(), random.between(0, 600)),
+            Behaviour::NonReader => (to_write.len(), 0),
             Behaviour::Stopper => (length, 4096),
         };
         match behaviour {
@@ -201,6 +205,11 @@
     seeds(SEEDS_VARIABLE, 1..4).for_each(|seed| expect_within_limit(seed, &[Behaviour::SlowReader]));
 }
 
+#[test]
+fn a_crowd_that_reads_nothing_stays_within_the_memory_limit() {
+    seeds(SEEDS_VARIABLE, 1..3).for_each(|seed| expect_within_limit(seed, &[Behaviour::NonReader]));
+}
+
 #[test]
 fn a_mixed_crowd_stays_within_the_memory_limit() {
     let all = [Behaviour::SlowWriter, Behaviour::Stopper, Behaviour::ManyFields, Behaviour::SlowReader];
