Fix: a new node at the address of one that has gone is not taken for it

Cause: nodes are known by their ids alone. Where a change of the list tells of the new node first, its address belongs to two listed nodes, and what is meant for the old one, with the weight and the warmth of the old one, reaches the new one.

Fix: the core's endpoint list takes a node for gone while another one that started later is listed at its address, and back once it is alone there. Equal or unknown starts tell nothing, and both stay.

--- a/crates/core/src/engine/endpoints.rs
+++ b/crates/core/src/engine/endpoints.rs
@@ -18,16 +18,15 @@
         }
         endpoints.iter().for_each(|(entry, _)| self.seen_servers.borrow_mut().add(entry.server));
         let state = &mut *self.state.borrow_mut();
-        let endpoints = self.correct_start_times(state, endpoints);
-        let endpoints = endpoints.as_slice();
+        let mut endpoints = self.correct_start_times(state, endpoints);
         if kind != ListKind::Failed {
-            state.endpoint_list.apply(kind != ListKind::Delta, endpoints);
+            endpoints = state.endpoint_list.apply(kind != ListKind::Delta, &endpoints);
             let EngineState { start_times, endpoint_list, .. } = state;
             start_times.retain(|server| endpoint_list.start_time(server).is_some());
         }
         let overlay = &state.config.routing.overlay;
         let overlaid: Cow<'_, [Endpoint]> = if overlay.is_empty() {
-            endpoints.into()
+            endpoints.as_slice().into()
         } else {
             endpoints.iter().map(|(entry, address)| (overlay.apply(entry), *address)).collect()
         };
