Fix: an HTTP/1.0 client can tell that an answer of unknown length is not whole

Cause: such an answer has no length and no chunks towards HTTP/1.0; its end is that of the connection, and hyper closes that in the same way after an error.

Fix: the connection is set to end with a reset when such an answer begins, and in order once its body is whole. So it is for a node that breaks, a client that is disconnected and the end of the process.

Test: an_answer_cut_off_by_its_node_ends_with_a_reset_for_an_http_1_0_client failed before and passes, as do the others of streams.rs.

--- a/crates/proxy/src/front/client.rs
+++ b/crates/proxy/src/front/client.rs
@@ -10,9 +10,10 @@
 use crate::drain::Drain;
 use crate::socket::Socket;
 use crate::MAX_READ_BUFFER_BYTES;
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::StatusCode;
+use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -268,7 +269,8 @@
     ) {
         let client = self.clients.register(Client::new(stream, peer, permit));
         tokio::task::spawn_local(async move {
-            let service = service_fn(|request| {
+            let service = service_fn(|request: Request<Incoming>| {
+                let version = request.version();
                 client.has_open_request.set(true);
                 let rejection = client.heads.rejection.take();
                 // The head's last byte arrived with the last bytes that were read, or earlier.
@@ -292,7 +294,7 @@
                     if response.body().is_streamed() {
                         client.socket.prepare_for_streaming();
                         client.streams_answer.set(true);
-                        response.body_mut().follow(client.socket.clone());
+                        response.body_mut().follow(client.socket.clone(), version);
                         response.body_mut().hold_until_sent(open_request);
                     }
                     Ok::<_, Infallible>(response)
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -5,6 +5,7 @@
 use super::MAX_STREAMED_BODY_BYTES;
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
 use hyper::header::HeaderValue;
+use hyper::Version;
 use std::any::Any;
 use std::future::Future;
 use std::io;
@@ -143,6 +144,8 @@
     kind: BodyKind,
     /// The connection that the body is written to, if it is streamed.
     receiver: Option<Rc<Socket>>,
+    /// Whether the end of that connection is the end of the body.
+    ends_with_connection: bool,
     /// Values that are dropped once the body has been sent.
     guards: Vec<Box<dyn Any>>,
 }
@@ -150,7 +153,12 @@
 impl ResponseBody {
     /// Creates a buffered body.
     pub fn buffered(bytes: Bytes) -> Self {
-        ResponseBody { kind: BodyKind::Buffered(Some(bytes)), receiver: None, guards: Vec::new() }
+        ResponseBody {
+            kind: BodyKind::Buffered(Some(bytes)),
+            receiver: None,
+            ends_with_connection: false,
+            guards: Vec::new(),
+        }
     }
 
     /// Whether the body is streamed.
@@ -158,8 +166,14 @@
         matches!(self.kind, BodyKind::Streamed(_))
     }
 
-    /// Reads no more of the body while bytes are still to be written to this connection.
-    pub fn follow(&mut self, receiver: Rc<Socket>) {
+    /// Reads no more of the body while bytes are still to be written to this connection. If the client knows the
+    /// end of the body only by that of the connection, as in HTTP/1.0, the connection is reset unless the body is
+    /// whole.
+    pub fn follow(&mut self, receiver: Rc<Socket>, version: Version) {
+        self.ends_with_connection = version == Version::HTTP_10 && self.size_hint().exact().is_none();
+        if self.ends_with_connection {
+            receiver.reset_on_close(true);
+        }
         self.receiver = Some(receiver);
     }
 
@@ -171,7 +185,12 @@
 
 impl From<StreamedBody> for ResponseBody {
     fn from(streamed: StreamedBody) -> Self {
-        ResponseBody { kind: BodyKind::Streamed(Box::new(streamed)), receiver: None, guards: Vec::new() }
+        ResponseBody {
+            kind: BodyKind::Streamed(Box::new(streamed)),
+            receiver: None,
+            ends_with_connection: false,
+            guards: Vec::new(),
+        }
     }
 }
 
@@ -196,6 +215,9 @@
                     streamed.failed = true;
                     streamed.record.broken_by_node(error, streamed.relayed_bytes);
                 }
+                if next.is_none() && this.ends_with_connection {
+                    this.receiver.iter().for_each(|receiver| receiver.reset_on_close(false));
+                }
                 next
             }
         };
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -227,6 +227,35 @@
     assert_eq!(r.proxy.health(), 200);
 }
 
+/// Guards against an answer that was cut off by its node and looks whole to an HTTP/1.0 client, for whom the end of
+/// the connection is the end of an answer of unknown length.
+#[test]
+fn an_answer_cut_off_by_its_node_ends_with_a_reset_for_an_http_1_0_client() {
+    let r = rig();
+    for is_whole in [false, true] {
+        let mut client = r.proxy.client();
+        client.write(&get("order", "").replace("HTTP/1.1", "HTTP/1.0"));
+        let mut node = r.cache.take();
+        node.request();
+        node.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n249f0\r\n");
+        node.0.get_mut().write_all(&body_part(0, 140_000)).expect("written");
+        read_head(&mut client);
+        if is_whole {
+            node.0.get_mut().write_all(&body_part(140_000, 10_000)).expect("written");
+            node.write("\r\n0\r\n\r\n");
+        }
+        drop(node);
+        let mut bytes = Vec::new();
+        let ended = client.0.read_to_end(&mut bytes);
+        if is_whole {
+            ended.expect("an orderly end");
+            assert!(bytes == body_part(0, 150_000));
+        } else {
+            assert_eq!(ended.expect_err("a reset").kind(), std::io::ErrorKind::ConnectionReset);
+        }
+    }
+}
+
 /// Guards against another attempt with an upload of which a part is lost.
 #[test]
 fn an_upload_whose_node_disconnects_is_not_retried() {
