Fix: a node is not blamed for a request whose body is still being written

Cause: the timer of a hedged request counts a missing answer against the node, though the node can't answer before it has the whole body. No second attempt can follow either, as the body is on its way to the first.

Fix: a request tells the decision module whether its body is still to come, and the timer does nothing then.

Test: a_node_that_waits_for_the_rest_of_a_long_request_stays_in_use failed before and passes, as do the tests of the decision module, the core and the adapter.

--- a/crates/core/src/engine/requests.rs
+++ b/crates/core/src/engine/requests.rs
@@ -39,6 +39,7 @@
         let margin = deadline_margin(client_timeout);
         request.remaining = client_timeout - margin;
         request.id = state.next_id;
+        request.body_pending = body_pending;
         state.next_id += 1;
         // Routes and pools are read together, so that no change of configuration can happen between the two.
         let routes = &state.config.routing.table;
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -300,6 +300,8 @@
     pub write: bool,
     /// Whether the client marked it as a retry.
     pub retry: bool,
+    /// Whether a part of its body is still to come; [`Event::BodyReceived`] tells of its end.
+    pub body_pending: bool,
 }
 
 /// How an attempt ended.
--- a/crates/decision/src/logic/hedging.rs
+++ b/crates/decision/src/logic/hedging.rs
@@ -38,7 +38,8 @@
         let Some(request) = self.requests.get(&id) else { return };
         let mut pending = request.attempts.iter().filter(|a| a.pending).map(|a| a.server);
         let (Some(slow), None) = (pending.next(), pending.next()) else { return };
-        if request.answer_begun || now >= request.deadline {
+        // A server can't answer before it has the whole request.
+        if request.answer_begun || request.body_pending || now >= request.deadline {
             return;
         }
         // The missing answer counts against the server at once, so that a hung server is ejected after two.
--- a/crates/decision/src/logic/lifecycle.rs
+++ b/crates/decision/src/logic/lifecycle.rs
@@ -25,6 +25,7 @@
             pool,
             bucket,
             write: r.write,
+            body_pending: r.body_pending,
             objective_at: now.saturating_add(objective),
             deadline: now.saturating_add(r.remaining),
             tenant: r.tenant.map(|t| t as usize),
@@ -235,6 +236,7 @@
     /// Handles the end of a request's body: its time limits count from now.
     pub(super) fn body_received(&mut self, now: Nanos, id: RequestId) {
         if let Some(request) = self.requests.get_mut(&id) {
+            request.body_pending = false;
             let shift = now.saturating_sub(std::mem::replace(&mut request.arrived, now));
             request.objective_at += shift;
             request.deadline += shift;
--- a/crates/decision/src/logic/request.rs
+++ b/crates/decision/src/logic/request.rs
@@ -62,6 +62,8 @@
     pub deadline: Nanos,
     /// Whether the proxy has begun to send the client its answer.
     pub answer_begun: bool,
+    /// Whether a part of its body is still to come.
+    pub body_pending: bool,
     /// Index of its tenant.
     pub tenant: Option<usize>,
     /// Time of its arrival.
--- a/crates/lab-sim/src/run.rs
+++ b/crates/lab-sim/src/run.rs
@@ -231,6 +231,7 @@
             remaining,
             write,
             retry: false,
+            body_pending: false,
         };
         self.feed(proxy, Event::Arrival(request));
     }
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -158,6 +158,8 @@
             remaining: checked.time_left,
             write: checked.write,
             retry: head.headers.get(RETRY_MARK).is_some_and(|value| value == "1"),
+            // Set by the engine.
+            body_pending: false,
         }
     }
 }
--- a/crates/proxy/tests/slow_uploads.rs
+++ b/crates/proxy/tests/slow_uploads.rs
@@ -66,12 +66,12 @@
     }
 }
 
-fn serve_exchanges(exchanges: &BTreeMap<String, Exchange>, records: &Records, peer: &mut Peer) {
+fn serve_exchanges(node: usize, exchanges: &BTreeMap<String, Exchange>, records: &Records, peer: &mut Peer) {
     while let Some(head) = read_head(peer) {
         let id = header(&head, "x-correlation-id").expect("an id").to_owned();
         let exchange = &exchanges[&id];
         let received = read_shaped(peer, &head, &exchange.read);
-        let mut record = NodeRecord { node: 0, id, received_at: None, answered_at: None };
+        let mut record = NodeRecord { node, id, received_at: None, answered_at: None };
         if let Some(received) = &received {
             assert!(received == &body(exchange.upload.salt, exchange.upload.length), "a changed body");
             record.received_at = Some(Instant::now());
@@ -145,7 +145,7 @@
         (0..CLIENTS).map(|n| (format!("up-{seed}-{n}"), exchange(&mut random, n))).collect();
     let (records, shared) = (Records::default(), Arc::new(exchanges.clone()));
     let node_records = records.clone();
-    let origin = serve(Server::new(), move |peer| serve_exchanges(&shared, &node_records, peer));
+    let origin = serve(Server::new(), move |peer| serve_exchanges(0, &shared, &node_records, peer));
     let discovery = Server::new();
     let mut config = config(discovery.addr, &[member("o1", origin, "origin", "ready")]);
     for class in config["settings"]["categories"].as_array_mut().expect("classes") {
@@ -174,3 +174,111 @@
     let faults: Vec<_> = plays.into_iter().flat_map(|play| play.join().expect("a play")).collect();
     assert!(faults.is_empty(), "{} answers:\n{}", faults.len(), faults.join("\n"));
 }
+
+/// A proxy before two nodes, of which each gets the writes of its keys.
+struct TwoNodes {
+    proxy: Proxy,
+    records: Records,
+    exchanges: Arc<BTreeMap<String, Exchange>>,
+    _discovery: Server,
+}
+
+impl TwoNodes {
+    fn new(exchanges: BTreeMap<String, Exchange>) -> Self {
+        let (records, exchanges) = (Records::default(), Arc::new(exchanges));
+        let listed = [0, 1].map(|node| {
+            let (exchanges, records) = (exchanges.clone(), records.clone());
+            let addr = serve(Server::new(), move |peer| serve_exchanges(node, &exchanges, &records, peer));
+            member(&format!("c{node}"), addr, "std", "ready")
+        });
+        let discovery = Server::new();
+        let mut config = config(discovery.addr, &listed);
+        config["settings"]["family_info"] = json!({"mode": "fetch", "origin_kind": 1});
+        for class in config["settings"]["categories"].as_array_mut().expect("classes") {
+            class["promise_ns"] = json!(500_000_000u64);
+        }
+        TwoNodes { proxy: Proxy::new(&config), records, exchanges, _discovery: discovery }
+    }
+
+    fn upload(&self, id: &str) -> Upload {
+        upload(self.proxy.addr, id.to_owned(), self.exchanges[id].clone())
+    }
+}
+
+/// Guards against a node that is ejected since it reads a long request slowly.
+#[test]
+fn a_node_that_reads_a_long_request_slowly_stays_in_use() {
+    const SHORT_WRITES: usize = 40;
+    let exchange = |length, read| Exchange {
+        class: "order",
+        time_left: Duration::from_millis(700),
+        starts_after: Duration::ZERO,
+        upload: BodyShape {
+            framing: Framing::Length,
+            salt: 0,
+            length,
+            before_body: Duration::ZERO,
+            piece_bytes: 100_000,
+            between_pieces: Duration::ZERO,
+            pause_at: 1,
+            pause: Duration::ZERO,
+        },
+        read,
+        before_answer: Duration::ZERO,
+    };
+    let slow = exchange(550_000, ReadShape::Rate(200_000));
+    let short = exchange(10, ReadShape::AtOnce);
+    let mut exchanges = BTreeMap::from([("slow".to_owned(), slow)]);
+    exchanges.extend((0..SHORT_WRITES).map(|n| (format!("short-{n}"), short.clone())));
+    let play = TwoNodes::new(exchanges);
+    let status = play.upload("slow").seen.status;
+    assert!(status.is_some_and(|status| status >= 500), "{status:?}");
+    for number in 0..SHORT_WRITES {
+        assert_eq!(play.upload(&format!("short-{number}")).seen.status, Some(200));
+    }
+    until("the slow one has ended", || !play.records.of("slow").is_empty());
+    let slow_node = play.records.of("slow")[0].node;
+    let writes = play.records.all().iter().filter(|record| record.node == slow_node).count();
+    assert!(writes > 1, "the node that reads slowly got none of {SHORT_WRITES} short writes");
+}
+
+/// Guards against a node that is ejected since a client is slow to write a long request to it.
+#[test]
+fn a_node_that_waits_for_the_rest_of_a_long_request_stays_in_use() {
+    const SHORT_WRITES: usize = 40;
+    /// The request is long enough to be sent on by then, and a hedged one would be due.
+    const SENT_AFTER: Duration = Duration::from_millis(1300);
+    let exchange = |length| Exchange {
+        class: "set",
+        time_left: Duration::from_millis(700),
+        starts_after: Duration::ZERO,
+        upload: BodyShape {
+            framing: Framing::Chunked,
+            salt: 0,
+            length,
+            before_body: Duration::ZERO,
+            piece_bytes: 4_000,
+            between_pieces: Duration::from_millis(50),
+            pause_at: 1,
+            pause: Duration::ZERO,
+        },
+        read: ReadShape::AtOnce,
+        before_answer: Duration::ZERO,
+    };
+    let mut exchanges = BTreeMap::from([("slow".to_owned(), exchange(200_000))]);
+    exchanges.extend((0..SHORT_WRITES).map(|n| (format!("short-{n}"), exchange(10))));
+    let play = TwoNodes::new(exchanges);
+    let (addr, slow) = (play.proxy.addr, play.exchanges["slow"].clone());
+    let slow = std::thread::spawn(move || upload(addr, "slow".to_owned(), slow));
+    std::thread::sleep(SENT_AFTER);
+    for number in 0..SHORT_WRITES {
+        assert_eq!(play.upload(&format!("short-{number}")).seen.status, Some(200));
+    }
+    assert!(play.records.of("slow").is_empty(), "the slow request has ended too soon");
+    assert_eq!(slow.join().expect("a client").seen.status, Some(200));
+    for node in 0..2 {
+        let of_node = play.records.all().into_iter().filter(|record| record.node == node);
+        let short_writes = of_node.filter(|record| record.id.starts_with("short")).count();
+        assert!(short_writes > 0, "node {node} got none of {SHORT_WRITES} short writes");
+    }
+}
