Fix: an attempt with a body that arrives meanwhile ends before the guard of its answer

Seen: with the time of a body counting from an earlier moment than its attempt's begin, the guard of the answer was always first: the request ended with 504 and no outcome of its attempt, so that nothing was learnt of its node.

Cause: the attempt's end was the later one of its own deadline and its time from the arrival.

Fix: a body that arrives during the attempt gives it its time from the arrival, nothing else.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -32,8 +32,8 @@
     pub(super) server: ServerId,
     pub(super) job: &'a Job,
     /// The deadline for writing the first byte of the request, and for the attempt. An attempt with a
-    /// streamed body instead ends [`Attempt::time_limit`] after the body's last byte arrived, if that is
-    /// later.
+    /// streamed body that has not arrived when it begins instead ends [`Attempt::time_limit`] after the body's
+    /// last byte arrived.
     pub(super) deadline: Instant,
     /// The total time allowed.
     pub(super) time_limit: Duration,
@@ -109,8 +109,8 @@
 }
 
 impl Attempt<'_> {
-    /// Makes the attempt. It ends at its deadline or, if the body is streamed, `time_limit` after the body's
-    /// last byte arrived.
+    /// Makes the attempt. It ends at its deadline or, if the body has not arrived when it begins, `time_limit`
+    /// after the body's last byte arrived.
     pub(super) async fn run(&self) -> Outcome {
         tokio::select! {
             // `never_sent` resolves when the engine forbids writing before the request was fully written. As
@@ -142,11 +142,11 @@
     async fn wait_for_timeout(&self) {
         let time_over = async {
             match self.job.body.upload() {
-                None => sleep_until(self.deadline).await,
-                Some(upload) => {
+                Some(upload) if upload.arrival().at().is_none() => {
                     let arrived_at = upload.arrival().wait().await;
-                    sleep_until(self.deadline.max(arrived_at + self.time_limit)).await;
+                    sleep_until(arrived_at + self.time_limit).await;
                 }
+                _ => sleep_until(self.deadline).await,
             }
         };
         tokio::select! {
