--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -7,6 +7,7 @@
 use crate::body_arrival::BodyArrival;
 use crate::metrics::Metric;
 use crate::relay::ResponseBody;
+use crate::request_ids::IdError;
 use crate::socket::{PeerHandle, Presence, Probe};
 use crate::upstream::UpstreamResponse;
 use aniseyoke_core::Answer;
@@ -31,8 +32,7 @@
         client: &Client,
     ) -> Response<ResponseBody> {
         if request.uri().path() == "/_health" {
-            let ready = !self.drain.is_active() && self.engine.can_serve();
-            return text_response(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "");
+            return self.health();
         }
         let is_http_11 = request.version() == Version::HTTP_11;
         let probe = if is_http_11 { Probe::InterimResponse } else { Probe::StatusLineByte };
@@ -49,14 +49,7 @@
         };
         let ParsedRequest { mut incoming, runs_once } = match parsed {
             Ok(parsed) => parsed,
-            Err(Rejection { status, reason }) => {
-                tracing::debug!("{}: rejected with {status}: {reason}", client.peer);
-                let mut response = reject(status, reason);
-                if status == StatusCode::METHOD_NOT_ALLOWED {
-                    response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, HEAD, PUT"));
-                }
-                return response;
-            }
+            Err(rejection) => return reject_request(&rejection, client),
         };
         // Keeps what may arrive unread within the bytes that are searched for the end of the body.
         let is_streamed = incoming.job.body.upload().is_some();
@@ -67,11 +60,7 @@
         let id = incoming.job.id.clone();
         let reserved_id = match self.request_ids.reserve(&id, runs_once) {
             Ok(reserved_id) => reserved_id,
-            Err(error) => {
-                self.metrics.count(Metric::RepeatedId);
-                tracing::info!("{}: rejected request {id:?}: {error}", client.peer);
-                return reject(StatusCode::CONFLICT, error.reason());
-            }
+            Err(error) => return self.reject_repeated(&id, error, client),
         };
         incoming.job.reserved_id = Some(reserved_id.clone());
         let is_head = incoming.job.method == Method::HEAD;
@@ -98,6 +87,28 @@
         }
         response
     }
+
+    fn health(&self) -> Response<ResponseBody> {
+        let ready = !self.drain.is_active() && self.engine.can_serve();
+        text_response(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
+    }
+
+    /// Rejects a request whose id is in use, or was sent before.
+    fn reject_repeated(&self, id: &HeaderValue, error: IdError, client: &Client) -> Response<ResponseBody> {
+        self.metrics.count(Metric::RepeatedId);
+        tracing::info!("{}: rejected request {id:?}: {error}", client.peer);
+        reject(StatusCode::CONFLICT, error.reason())
+    }
+}
+
+/// Rejects a request that could not be parsed.
+fn reject_request(rejection: &Rejection, client: &Client) -> Response<ResponseBody> {
+    tracing::debug!("{}: rejected with {rejection}", client.peer);
+    let mut response = reject(rejection.status, rejection.reason);
+    if rejection.status == StatusCode::METHOD_NOT_ALLOWED {
+        response.headers_mut().insert(header::ALLOW, HeaderValue::from_static("GET, HEAD, PUT"));
+    }
+    response
 }
 
 /// Returns the response for a client that has disconnected. It is never read.
--- a/crates/proxy/src/upload.rs
+++ b/crates/proxy/src/upload.rs
@@ -1,7 +1,7 @@
 //! The body of a client's request: buffered if it is small, else streamed to the node as it is received.
 
 use super::body_arrival::BodyArrival;
-use super::budget::Budget;
+use super::budget::{Budget, Reservation};
 use super::{MAX_BUFFERED_BODY_BYTES, MAX_STREAMED_BODY_BYTES};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Frame, Incoming, SizeHint};
@@ -111,18 +111,7 @@
     let reserved_bytes = size
         .exact()
         .map_or(MAX_BUFFERED_BODY_BYTES, |length| length.min(MAX_BUFFERED_BODY_BYTES as u64) as usize);
-    let started_at = Instant::now();
-    let waits_too_long = || match arrival.at() {
-        None => started_at.elapsed() > MAX_BUDGET_WAIT,
-        Some(arrived_at) => arrived_at.elapsed() > time_left / 2 || started_at.elapsed() > STALL_TIMEOUT,
-    };
-    let reservation = loop {
-        match budget.reserve(reserved_bytes) {
-            Some(reservation) => break reservation,
-            None if waits_too_long() => return Err(UploadError::NoRoom),
-            None => sleep(BUDGET_RETRY_INTERVAL).await,
-        }
-    };
+    let reservation = reserve(budget, reserved_bytes, arrival, time_left).await?;
     let mut rate = ReceiveRate { waited: Duration::ZERO, received: 0 };
     let mut read_ahead = Vec::new();
     while !body.is_end_stream() {
@@ -157,6 +146,27 @@
     Ok(Payload::Buffered(reservation.hold(read_ahead)))
 }
 
+/// Reserves memory for a body, and waits for it if none is free.
+async fn reserve(
+    budget: &Arc<Budget>,
+    bytes: usize,
+    arrival: &BodyArrival,
+    time_left: Duration,
+) -> Result<Reservation, UploadError> {
+    let started_at = Instant::now();
+    let waits_too_long = || match arrival.at() {
+        None => started_at.elapsed() > MAX_BUDGET_WAIT,
+        Some(arrived_at) => arrived_at.elapsed() > time_left / 2 || started_at.elapsed() > STALL_TIMEOUT,
+    };
+    loop {
+        match budget.reserve(bytes) {
+            Some(reservation) => return Ok(reservation),
+            None if waits_too_long() => return Err(UploadError::NoRoom),
+            None => sleep(BUDGET_RETRY_INTERVAL).await,
+        }
+    }
+}
+
 /// A body that is streamed to a node as it is received.
 pub struct Upload {
     length: Option<u64>,
