--- a/crates/proxy/tests/bodies/mod.rs
+++ b/crates/proxy/tests/bodies/mod.rs
@@ -1,7 +1,7 @@
 //! Clients and nodes whose bodies come in shapes that a seed draws: framing, size, pauses, pace, and who stops when.
 #![allow(dead_code)]
 
-use crate::rig::{Peer, Server};
+use crate::rig::{Peer, Server, STEP_TIMEOUT};
 use std::io::{BufRead, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
@@ -356,3 +356,16 @@
     });
     addr
 }
+
+/// Serves this list as a discovery service, without a change to it; returns its address.
+pub fn serve_list(list: &serde_json::Value) -> SocketAddr {
+    let list = list.to_string();
+    serve(Server::new(), move |peer| {
+        while let Some(head) = read_head(peer) {
+            if head[0].contains("from=") {
+                std::thread::sleep(STEP_TIMEOUT);
+            }
+            peer.reply("200 OK", "", &list);
+        }
+    })
+}
--- a/crates/proxy/tests/repeated_ids.rs
+++ b/crates/proxy/tests/repeated_ids.rs
@@ -64,15 +64,7 @@
         std::fs::create_dir_all(&folder).expect("a folder");
         let records = Records::default();
         let origin = slow_origin(&records, before_answer);
-        let list = list(42, true, &[member("o1", origin, "origin", "ready")]).to_string();
-        let discovery = serve(Server::new(), move |peer| {
-            while let Some(head) = read_head(peer) {
-                if head[0].contains("from=") {
-                    std::thread::sleep(STEP_TIMEOUT);
-                }
-                peer.reply("200 OK", "", &list);
-            }
-        });
+        let discovery = serve_list(&list(42, true, &[member("o1", origin, "origin", "ready")]));
         let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
         Platform { listener, folder, discovery, origin, records }
     }
--- a/crates/proxy/tests/restarts.rs
+++ b/crates/proxy/tests/restarts.rs
@@ -224,15 +224,7 @@
             member(name, addr, kind, "ready")
         };
         let nodes = vec![node("c0", "std"), node("c1", "std"), node("o1", "origin")];
-        let list = list(42, true, &nodes).to_string();
-        let discovery = serve(Server::new(), move |peer| {
-            while let Some(head) = read_head(peer) {
-                if head[0].contains("from=") {
-                    std::thread::sleep(STEP_TIMEOUT);
-                }
-                peer.reply("200 OK", "", &list);
-            }
-        });
+        let discovery = serve_list(&list(42, true, &nodes));
         let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
         Platform { listener, folder, discovery, nodes }
     }
