Fix: a node whose address is no longer known is not taken for replaced

A node that was out of use, since a later one had its address, stayed so for good when the list then gave it an address that can't be read.

Cause: only nodes at the addresses that an update names were looked at again.

Fix: without an address no other node can have it, and the node is in use as the list says.

Class and where else: a mark that outlives its reason; unlisted nodes lose theirs already.

--- a/crates/core/src/endpoint_list.rs
+++ b/crates/core/src/endpoint_list.rs
@@ -53,8 +53,9 @@
     }
 
     fn insert(&mut self, entry: Entry, address: Option<SocketAddr>) {
-        if let Some(address) = address {
-            self.at_address.entry(address).or_default().push(entry.server);
+        match address {
+            Some(address) => self.at_address.entry(address).or_default().push(entry.server),
+            None => drop(self.replaced.remove(&entry.server)),
         }
         self.entries.insert(entry.server, (entry, address));
     }
--- a/crates/core/src/endpoint_list/tests.rs
+++ b/crates/core/src/endpoint_list/tests.rs
@@ -81,6 +81,11 @@
     assert_eq!(states(&list.apply(false, &[at(4, 80, 9)])), [(1, State::Gone), (4, State::Ready)]);
     // It comes back at another address.
     assert_eq!(states(&list.apply(false, &[at(1, 83, 10)])), [(1, State::Ready)]);
+    // So does one whose address is not known any more.
+    list.apply(false, &[at(4, 83, 20)]);
+    assert!(list.apply(false, &[at(1, 83, 10)]).is_empty());
+    let unknown = (Entry { server: 1, started: 10, weight: 1.0, ..Entry::default() }, None);
+    assert_eq!(states(&list.apply(false, &[unknown])), [(1, State::Ready)]);
     // One that moves to the address of an older server replaces it.
     assert_eq!(states(&list.apply(false, &[at(1, 82, 10)])), [(1, State::Ready), (3, State::Gone)]);
 }
