Fix: an HTTP/1.0 answer looks whole only once its last bytes are written

An HTTP/1.0 client that stops reading in the last pieces of an answer of unknown length would see an orderly end when it is closed after 2 s.

Cause: the reset that marks an unfinished answer was taken back when the body's end was read, though pieces may still wait to be written.

Fix: it is taken back once all has been written. Class: an end that is told before it is reached; elsewhere an end shows in a length or a last chunk, which wait behind the pieces.

A comment in the core's transport is wrapped.

--- a/crates/core/src/transport.rs
+++ b/crates/core/src/transport.rs
@@ -21,8 +21,8 @@
     fn on_body_received(&self, callback: impl FnOnce(Instant) + 'static);
 
     /// Completes once the last byte of the request is received from the client, or never if it is not
-    /// received, with the time from which the time limits of the request count. The future must not hold a strong reference to the job, which would keep the client's
-    /// connection open.
+    /// received, with the time from which the time limits of the request count. The future must not hold a
+    /// strong reference to the job, which would keep the client's connection open.
     fn body_received(job: Weak<Self>) -> impl Future<Output = Instant>;
 }
 
--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -216,7 +216,7 @@
                     streamed.record.broken_by_node(error, streamed.relayed_bytes);
                 }
                 if next.is_none() && this.ends_with_connection {
-                    this.receiver.iter().for_each(|receiver| receiver.reset_on_close(false));
+                    this.receiver.iter().for_each(|receiver| receiver.close_in_order_once_flushed());
                 }
                 next
             }
--- a/crates/proxy/src/socket/io.rs
+++ b/crates/proxy/src/socket/io.rs
@@ -150,6 +150,9 @@
         // Hyper flushes the stream once its own buffer, which holds the complete message, is empty.
         self.0.write_blocked.set(false);
         self.0.fully_written.set(self.0.write_began.get());
+        if self.0.closes_in_order_once_flushed.take() {
+            self.0.reset_on_close(false);
+        }
         if let Some(waker) = self.0.flush_waker.take() {
             waker.wake();
         }
--- a/crates/proxy/src/socket/mod.rs
+++ b/crates/proxy/src/socket/mod.rs
@@ -42,6 +42,8 @@
     fully_written: Cell<bool>,
     /// Whether the kernel's buffer is full, so that hyper has bytes still to write.
     write_blocked: Cell<bool>,
+    /// Whether the connection is to close in order once all bytes have been written, and to be reset before.
+    closes_in_order_once_flushed: Cell<bool>,
     /// Woken once all bytes have been written.
     flush_waker: RefCell<Option<Waker>>,
     /// When bytes were last written.
@@ -69,6 +71,7 @@
             write_began: Cell::new(false),
             fully_written: Cell::new(false),
             write_blocked: Cell::new(false),
+            closes_in_order_once_flushed: Cell::new(false),
             flush_waker: RefCell::default(),
             last_write: Cell::new(Instant::now()),
             max_incoming: Cell::new(usize::MAX),
@@ -178,6 +181,11 @@
         let _ = SockRef::from(&self.stream).set_linger(enabled.then_some(Duration::ZERO));
     }
 
+    /// Ends [`Self::reset_on_close`] once all bytes have been written.
+    pub fn close_in_order_once_flushed(&self) {
+        self.closes_in_order_once_flushed.set(true);
+    }
+
     /// Peeks at one byte in the kernel's receive buffer: returns 1 if there is one, and 0 if the peer has
     /// ended its sending.
     fn peek_byte(&self) -> Result<usize> {
--- a/crates/proxy/src/socket/tests.rs
+++ b/crates/proxy/src/socket/tests.rs
@@ -5,7 +5,7 @@
 use hyper::client::conn::http1;
 use hyper::Request;
 use hyper_util::rt::TokioIo;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket};
 
 /// Guards against an idle connection whose surplus bytes are taken for the answer to the next request. The
@@ -22,6 +22,31 @@
     assert!(!socket.has_no_input());
 }
 
+/// Guards against an answer whose last bytes were not written and that looks whole, since its connection is closed in
+/// order.
+#[tokio::test(flavor = "current_thread")]
+async fn a_connection_is_reset_on_close_until_the_last_bytes_are_written() {
+    for is_flushed in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bound");
+        let mut client =
+            TcpStream::connect(listener.local_addr().expect("an address")).await.expect("connected");
+        let (stream, _) = listener.accept().await.expect("accepted");
+        let socket = Socket::new(stream, DescriptorBudget::new(1).try_acquire().expect("a descriptor"));
+        socket.reset_on_close(true);
+        socket.close_in_order_once_flushed();
+        let mut io = Io(socket);
+        if is_flushed {
+            io.flush().await.expect("flushed");
+        }
+        drop(io);
+        let read = client.read(&mut [0; 1]).await;
+        match is_flushed {
+            true => assert_eq!(read.expect("an orderly end"), 0),
+            false => assert_eq!(read.expect_err("a reset").kind(), ErrorKind::ConnectionReset),
+        }
+    }
+}
+
 /// Guards against a request that ran but counts as unwritten, and is sent again, and against one that counts
 /// as written but never ran, and fails.
 #[tokio::test(flavor = "current_thread")]
