--- a/crates/proxy/src/relay.rs
+++ b/crates/proxy/src/relay.rs
@@ -88,6 +88,7 @@
     fn poll_data(&mut self, cx: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         if let Some(read_ahead) = self.read_ahead.take() {
             self.ended = self.rest.is_end_stream();
+            self.relayed_bytes += read_ahead.len() as u64;
             self.postpone_stall();
             return Poll::Ready(Some(Ok(read_ahead)));
         }
--- a/crates/proxy/src/request_ids/mod.rs
+++ b/crates/proxy/src/request_ids/mod.rs
@@ -19,10 +19,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum IdError {
     /// A request with this id is in progress.
-    #[error("a request with this X-Correlation-Id is open")]
+    #[error("{}", self.reason())]
     Open,
     /// A request with this id was sent before, and must not run twice.
-    #[error("a request with this X-Correlation-Id was sent before")]
+    #[error("{}", self.reason())]
     Sent,
 }
 
--- a/crates/proxy/src/request_ids/tests.rs
+++ b/crates/proxy/src/request_ids/tests.rs
@@ -60,3 +60,29 @@
         assert_eq!(known, newest.iter().collect::<Vec<_>>());
     }
 }
+
+/// Guards against a process that does not start, or rejects requests, since the files of ids are damaged or can't be
+/// used.
+#[test]
+fn files_that_can_not_be_used_leave_each_process_its_own_ids() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let dir = Some(folder.path().to_path_buf());
+    let own = folder.path().join("aniseyoke-ids.0");
+    let other = folder.path().join("aniseyoke-ids.1");
+    let damages: [&dyn Fn(); 3] = [
+        &|| std::fs::write(&own, vec![0xa5; 12_345]).expect("written"),
+        &|| std::fs::write(&other, [0x5a; 3]).expect("written"),
+        &|| {
+            std::fs::remove_file(&own).expect("removed");
+            std::fs::create_dir(&own).expect("made");
+        },
+    ];
+    for (round, damage) in damages.iter().enumerate() {
+        damage();
+        let peers = Peers::join(dir.clone());
+        let ids = RequestIds::new(peers.slot());
+        let name = id(&format!("id-{round}"));
+        ids.reserve(&name, true).expect("free").mark_sent();
+        assert_eq!(ids.reserve(&name, true).err(), Some(IdError::Sent));
+    }
+}
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -41,8 +41,8 @@
 /// How often an attempt that waits for a permit to open a connection looks for an idle connection.
 const PERMIT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Each streamed answer takes up to four reads of memory. While there are more of them than the budget for answers has
-/// room for at full size, they are read in pieces of this size.
+/// A streamed answer holds some pieces as they were read. While more answers are streamed than the budget for answers
+/// has room for at full size, further ones are read in pieces of this size.
 const SMALL_READ_BYTES: usize = 4 << 10;
 
 /// A node's answer, as forwarded to the client.
