Fix: a node that accepts a long request in lumps is not blamed

Cause: took a node for one that reads if it had accepted a byte within half of the client's time. A receive window reopens only once a good part of the buffer has been read; a node that reads 200 kB a second accepts nothing for longer.

Fix: of a request that is not fully written a node is blamed only if it has accepted nothing for 2 s. Whole requests are judged as before.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -125,16 +125,18 @@
 
     /// Returns the status of an attempt whose time is over. A request that was not fully written was not
     /// processed by the node: `ConnectFailed` stands for that, even if a connection was opened and a part of the
-    /// request was written. A node that was still reading a long body is slow, and does not count as failed.
+    /// request was written. A node that may still have been reading a long body is slow, and does not count as
+    /// failed.
     fn timeout_status(&self) -> Status {
         let has_upload = self.job.body.upload().is_some();
-        let was_reading = has_upload && self.handle.wrote_within(self.time_limit / 2);
-        match (self.handle.is_written(), was_reading) {
-            (true, false) => Status::Timeout,
-            (true, true) => Status::Cancelled,
-            (false, false) => Status::ConnectFailed,
-            (false, true) => Status::NotSent,
+        if self.handle.is_written() {
+            let was_reading = has_upload && self.handle.wrote_within(self.time_limit / 2);
+            return if was_reading { Status::Cancelled } else { Status::Timeout };
+        }
+        if has_upload && !self.handle.has_stopped_reading() {
+            return Status::NotSent;
         }
+        Status::ConnectFailed
     }
 
     /// Waits until the time for the attempt is over or its node is stuck: the request is not fully written,
--- a/crates/proxy/src/upstream/handle.rs
+++ b/crates/proxy/src/upstream/handle.rs
@@ -12,6 +12,9 @@
 const MAX_WRITE_DELAY: Duration = Duration::from_millis(150);
 /// A node that accepts no bytes of a request for this long is considered stuck.
 const STUCK_TIMEOUT: Duration = Duration::from_secs(10);
+/// A node that accepts no bytes of a request for this long has stopped reading. One that reads slowly accepts none
+/// either until it has read a good part of its receive buffer.
+const STOPPED_READING_TIMEOUT: Duration = Duration::from_secs(2);
 /// The interval between checks for a stuck node.
 const STUCK_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -82,6 +85,11 @@
         self.socket.borrow().as_ref().is_some_and(|socket| socket.wrote_within(time))
     }
 
+    /// Whether the node has stopped reading the request.
+    pub(super) fn has_stopped_reading(&self) -> bool {
+        self.socket.borrow().as_ref().is_some_and(|socket| socket.is_stuck(STOPPED_READING_TIMEOUT))
+    }
+
     /// Whether the body of the request is streamed.
     pub(super) fn has_upload(&self) -> bool {
         self.upload.borrow().is_some()
--- a/crates/proxy/tests/slow_uploads.rs
+++ b/crates/proxy/tests/slow_uploads.rs
@@ -226,20 +226,23 @@
         read,
         before_answer: Duration::ZERO,
     };
-    let slow = exchange(550_000, ReadShape::Rate(200_000));
     let short = exchange(10, ReadShape::AtOnce);
-    let mut exchanges = BTreeMap::from([("slow".to_owned(), slow)]);
-    exchanges.extend((0..SHORT_WRITES).map(|n| (format!("short-{n}"), short.clone())));
-    let play = TwoNodes::new(exchanges);
-    let status = play.upload("slow").seen.status;
-    assert!(status.is_some_and(|status| status >= 500), "{status:?}");
-    for number in 0..SHORT_WRITES {
-        assert_eq!(play.upload(&format!("short-{number}")).seen.status, Some(200));
+    // A node accepts bytes in lumps, and may accept none for a good part of the client's time.
+    let pause = ReadShape::Pause { at: 50_000, pause: Duration::from_millis(1200) };
+    for read in [ReadShape::Rate(200_000), pause] {
+        let mut exchanges = BTreeMap::from([("slow".to_owned(), exchange(550_000, read.clone()))]);
+        exchanges.extend((0..SHORT_WRITES).map(|n| (format!("short-{n}"), short.clone())));
+        let play = TwoNodes::new(exchanges);
+        let status = play.upload("slow").seen.status;
+        assert!(status.is_some_and(|status| status >= 500), "{read:?}: {status:?}");
+        for number in 0..SHORT_WRITES {
+            assert_eq!(play.upload(&format!("short-{number}")).seen.status, Some(200));
+        }
+        until("the slow one has ended", || !play.records.of("slow").is_empty());
+        let slow_node = play.records.of("slow")[0].node;
+        let writes = play.records.all().iter().filter(|record| record.node == slow_node).count();
+        assert!(writes > 1, "{read:?}: its node got none of {SHORT_WRITES} short writes");
     }
-    until("the slow one has ended", || !play.records.of("slow").is_empty());
-    let slow_node = play.records.of("slow")[0].node;
-    let writes = play.records.all().iter().filter(|record| record.node == slow_node).count();
-    assert!(writes > 1, "the node that reads slowly got none of {SHORT_WRITES} short writes");
 }
 
 /// Guards against a node that is ejected since a client is slow to write a long request to it.
