--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,7 +4,7 @@
 set -u
 case_dir=$(cd "$(dirname "${BASH_SOURCE[0]}")" && pwd) || exit 2
 repository=$(cd "$case_dir/../.." && pwd) || exit 2
-program=$repository/review/stand-ins-2/target/release/foreign_answers
+program=$repository/review/stand-ins-2/target/release/coded_body
 [ -x "$program" ] && [ -x "$repository/target/release/aniseyoke" ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
