--- a/review/stand-ins-2/src/bin/ban_after_upgrade.rs
+++ b/review/stand-ins-2/src/bin/ban_after_upgrade.rs
@@ -54,6 +54,7 @@
         return 2;
     }
     // The node dies, and discovery says so. Its stand-in is no longer listed; it comes back at a new port.
+    let died = Instant::now();
     discovery.set(Member { state: "gone", ..victim.clone() });
     thread::sleep(ms(2500));
     platform.known = discovery.known();
@@ -73,8 +74,8 @@
     thread::sleep(ms(500));
     let called = Instant::now();
     let status = now.call("POST", "/api/exclude", "{\"id\":\"s-4\"}");
-    thread::sleep(ms(2000));
-    // The node is back, cold.
+    // The node is back 8 s after it died, cold.
+    thread::sleep((died + ms(8000)).saturating_duration_since(Instant::now()));
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let back = listener.local_addr().unwrap();
     serve_node(record, "s-4", listener, handler);
--- a/review/stand-ins-2/src/bin/upgrade_old_list.rs
+++ b/review/stand-ins-2/src/bin/upgrade_old_list.rs
@@ -61,6 +61,10 @@
     thread::sleep((told + ms(6000)).saturating_duration_since(Instant::now()));
     let drained = Instant::now();
     discovery.set(Member { state: "gone", ..victim });
+    thread::sleep(ms(200));
+    if trouble() {
+        discovery.set_down(false);
+    }
     let (sent, served) = load.join().unwrap();
     let _ = (old.has_ended(), new.has_ended());
     let got = got.lock().unwrap();
