Fix: a body with another transfer coding than chunked is refused, not stored as coded

Cause: HeadReader::check_head and the check of answers looked whether there is a Transfer-Encoding, not which. hyper undoes the last coding, and leaves the others to its caller; the header is then removed as hop-by-hop.

Change: transfer_coding reads all lines of the header, front/framing decides. Requests: 501 for chunked over others, 400 where the end is unknown, in HTTP/1.0 or beside a length, each with a reason; hyper gets a substitute without a body, so that nothing of the request reaches a node or is taken for a further request, and the rest is read for up to 2 s and discarded, so that no reset overtakes the refusal. Answers of 200: unusable, the attempt may have run, its connection ends, the log says why. The operators' endpoint reads all lines too.

Why it works: a body passes only if chunked is its one coding, which hyper undoes; all else ends before a node gets a byte.

--- a/crates/proxy/src/admin/call.rs
+++ b/crates/proxy/src/admin/call.rs
@@ -1,6 +1,7 @@
 //! Operators' calls, and their parser for HTTP requests.
 
 use super::reply::AdminReply;
+use crate::transfer_coding::TransferCoding;
 use serde::Deserialize;
 
 /// Maximum length of a call, head and body together.
@@ -46,7 +47,7 @@
     if head.method != Some(method) {
         return Some(Err(AdminReply::MethodNotAllowed(method)));
     }
-    let body = match body(head.headers, &received[length..])? {
+    let body = match body(head.version, head.headers, &received[length..])? {
         Ok(body) => body,
         Err(reply) => return Some(Err(reply)),
     };
@@ -61,20 +62,24 @@
 }
 
 /// Returns the body, or `None` as long as more bytes are needed to complete or reject it.
-fn body(headers: &[httparse::Header<'_>], received: &[u8]) -> Option<Result<Vec<u8>, AdminReply>> {
+fn body(
+    minor_version: Option<u8>,
+    headers: &[httparse::Header<'_>],
+    received: &[u8],
+) -> Option<Result<Vec<u8>, AdminReply>> {
     let values = |name: &'static str| {
         headers.iter().filter(move |h| h.name.eq_ignore_ascii_case(name)).map(|h| h.value)
     };
     let mut lengths = values("content-length");
-    let (length, coding) = (lengths.next(), values("transfer-encoding").next());
-    if lengths.next().is_some() || length.is_some() && coding.is_some() {
+    let length = lengths.next();
+    let coding = TransferCoding::of(values("transfer-encoding"));
+    if lengths.next().is_some() || length.is_some() && coding != TransferCoding::None {
         return Some(Err(AdminReply::BadCall("the length is told twice")));
     }
-    if let Some(coding) = coding {
-        return match coding.eq_ignore_ascii_case(b"chunked") {
-            true => decode_chunks(received),
-            false => Some(Err(AdminReply::BadCall("the body has an unknown coding"))),
-        };
+    match coding {
+        TransferCoding::None => {}
+        TransferCoding::Chunked if minor_version != Some(0) => return decode_chunks(received),
+        _ => return Some(Err(AdminReply::BadCall("the body has an unknown coding"))),
     }
     let digits = |v: &&[u8]| !v.is_empty() && v.iter().all(u8::is_ascii_digit);
     let length = match length {
--- a/crates/proxy/src/admin/call/tests.rs
+++ b/crates/proxy/src/admin/call/tests.rs
@@ -28,6 +28,7 @@
 fn malformed_calls_are_rejected_with_the_matching_status() {
     let long = format!("GET /api/ready HTTP/1.1\r\nX: {}\r\n", "x".repeat(MAX_CALL_BYTES));
     let head = "POST /api/exclude HTTP/1.1\r\n";
+    let chunks = "a\r\n{\"id\":\"a\"}\r\n0\r\n\r\n";
     let cases = [
         (long, "BadCall"),
         ("noise\r\n\r\n".to_owned(), "BadCall"),
@@ -40,6 +41,9 @@
         (format!("{head}Content-Length: 1\r\nContent-Length: 1\r\n\r\n1"), "BadCall"),
         (format!("{head}Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"), "BadCall"),
         (format!("{head}Transfer-Encoding: gzip\r\n\r\n"), "BadCall"),
+        (format!("{head}Transfer-Encoding: gzip, chunked\r\n\r\n{chunks}"), "BadCall"),
+        (format!("{head}Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n{chunks}"), "BadCall"),
+        (format!("POST /api/exclude HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}"), "BadCall"),
         (format!("{head}Transfer-Encoding: chunked\r\n\r\nffffffff\r\n"), "BadCall"),
         (format!("{head}Transfer-Encoding: chunked\r\n\r\n1\r\nxx\r\n"), "BadCall"),
         ("GET /api/nothing HTTP/1.1\r\n\r\n".to_owned(), "NotFound"),
--- a/crates/proxy/src/front/answer.rs
+++ b/crates/proxy/src/front/answer.rs
@@ -2,7 +2,8 @@
 
 use super::client::Client;
 use super::headers::strip_hop_by_hop;
-use super::request::{ParsedRequest, Rejection};
+use super::rejection::Rejection;
+use super::request::ParsedRequest;
 use super::Server;
 use crate::body_arrival::BodyArrival;
 use crate::metrics::Metric;
@@ -102,7 +103,7 @@
 }
 
 /// Rejects a request that could not be parsed.
-fn reject_request(rejection: &Rejection, client: &Client) -> Response<ResponseBody> {
+pub fn reject_request(rejection: &Rejection, client: &Client) -> Response<ResponseBody> {
     tracing::debug!("{}: rejected with {rejection}", client.peer);
     let mut response = reject(rejection.status, rejection.reason);
     if rejection.status == StatusCode::METHOD_NOT_ALLOWED {
--- a/crates/proxy/src/front/client.rs
+++ b/crates/proxy/src/front/client.rs
@@ -1,6 +1,6 @@
 //! A client connection: its state, its timeouts, and how it is served with hyper.
 
-use super::answer::{close_connection, reject};
+use super::answer::{close_connection, reject_request};
 use super::close::{CloseReason, CloseStep, ConnectionEnd, EndCause};
 use super::head_reader::{HeadProgress, HeadReader};
 use super::upload_clock::{UploadClock, UploadProgress};
@@ -8,22 +8,23 @@
 use crate::body_arrival::BodyArrival;
 use crate::descriptors::DescriptorPermit;
 use crate::drain::Drain;
-use crate::socket::Socket;
-use crate::MAX_READ_BUFFER_BYTES;
+use crate::socket::{Io, Socket};
+use crate::{MAX_READ_BUFFER_BYTES, MAX_STREAMED_BODY_BYTES};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::Request;
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::yield_now;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout, Instant};
 
 /// A new connection is closed if its first request head is not complete within this time. Regular clients
 /// take up to 2 s for a head, and a silent connection must be closed within 3 s.
@@ -38,6 +39,10 @@
 const STREAM_READ_TIMEOUT: Duration = Duration::from_secs(10);
 /// A connection without a request for this time is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The rest of a rejected request is read for at most this time after the rejection.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(2);
+/// How much of it is read at once.
+const DISCARD_READ_BYTES: usize = 16 << 10;
 /// Interval of the checks whether the rest of a body has arrived that is not being read.
 const BODY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -169,6 +174,26 @@
         }
     }
 
+    /// Reads and discards what the client still sends of a rejected request, until its end, the time limit or a
+    /// reason to close. Closing a connection with unread input resets it, which may discard the rejection.
+    async fn discard_input(&self) {
+        let input = async {
+            let mut buffer = vec![0; DISCARD_READ_BYTES];
+            let mut discarded = 0;
+            while discarded <= MAX_STREAMED_BODY_BYTES {
+                match poll_fn(|cx| Io(self.socket.clone()).poll_read_into(cx, &mut buffer)).await {
+                    Ok(count @ 1..) => discarded += count as u64,
+                    _ => return,
+                }
+            }
+        };
+        tokio::select! {
+            biased;
+            _ = self.close_requested() => {}
+            _ = timeout(MAX_DISCARD_TIME, input) => {}
+        }
+    }
+
     /// Whether a part of a further request head has been read.
     fn has_partial_head(&self) -> bool {
         self.heads.partial_since.get().is_some()
@@ -279,7 +304,7 @@
                 let open_request = OpenRequest(Rc::clone(client));
                 async move {
                     let mut response = match rejection {
-                        Some(reason) => reject(StatusCode::BAD_REQUEST, reason),
+                        Some(rejection) => reject_request(&rejection, client),
                         None => server.respond(request, received_at, client).await,
                     };
                     // Close to the connection limit, a descriptor is worth more to the next client than to
@@ -324,6 +349,9 @@
                     }
                 }
             };
+            if client.heads.is_rejected.get() {
+                client.discard_input().await;
+            }
             tracing::debug!("{}", client.end(cause));
         });
     }
--- a/crates/proxy/src/front/head_reader.rs
+++ b/crates/proxy/src/front/head_reader.rs
@@ -1,6 +1,8 @@
 //! Passes the bytes of a client to hyper one request at a time, and checks each request head before hyper
 //! reads it.
 
+use super::framing::{self, Framing};
+use super::rejection::Rejection;
 use super::unread_body::UnreadBody;
 use crate::socket::{Io, Socket};
 use crate::MAX_READ_BUFFER_BYTES;
@@ -40,7 +42,9 @@
     /// Number of complete heads that have been read.
     pub complete: Cell<u64>,
     /// Why the last complete head must be rejected, if it must.
-    pub rejection: Cell<Option<&'static str>>,
+    pub rejection: Cell<Option<Rejection>>,
+    /// Whether a head was rejected. What follows it is not read: it may be the rest of the rejected request.
+    pub is_rejected: Cell<bool>,
     /// Whether the last complete head states no length for its body, so that no further input is parsed as a
     /// head.
     pub unbounded_body: Cell<bool>,
@@ -81,7 +85,7 @@
 
     /// Returns the number of bytes that may be forwarded, or `None` while the head in the buffer is
     /// incomplete. A head that is malformed or too long is forwarded, so that hyper responds with the error.
-    fn check_head(&self) -> Option<u64> {
+    fn check_head(&mut self) -> Option<u64> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut request = httparse::Request::new(&mut headers);
         let length = match request.parse(&self.buffer) {
@@ -89,38 +93,64 @@
             Ok(httparse::Status::Partial) if self.buffer.len() < MAX_READ_BUFFER_BYTES => return None,
             _ => return Some(UNLIMITED),
         };
-        let header_values = |name: &'static str| {
-            let has_name = move |h: &&httparse::Header<'_>| h.name.eq_ignore_ascii_case(name);
-            request.headers.iter().filter(has_name).map(|h| h.value)
+        let framing = match check(&request) {
+            Ok(framing) => framing,
+            Err(rejection) => {
+                let substitute = substitute(&request);
+                return Some(self.reject(rejection, substitute));
+            }
         };
-        let content_length = header_values("content-length").next();
-        let chunked = header_values("transfer-encoding").next().is_some();
-        let has_fragment = request.path.is_some_and(|path| path.contains('#'));
-        let rejection = match (content_length, chunked) {
-            // Request smuggling: a proxy and a node that each rely on a different one of the two headers see
-            // different requests in the same bytes. Hyper removes one of them silently.
-            (Some(_), true) => Some("both Content-Length and Transfer-Encoding"),
-            // Hyper drops the fragment, so that a different path would be forwarded.
-            _ if has_fragment => Some("bad path"),
-            _ => None,
+        self.head_completed();
+        self.heads.unbounded_body.set(framing == Framing::Chunked);
+        let mut unread_body = match framing {
+            Framing::Length(body) => UnreadBody::Length(body),
+            Framing::Chunked => UnreadBody::chunked(),
+            Framing::Malformed => UnreadBody::Unknown,
         };
+        unread_body.read(&self.buffer[length as usize..]);
+        self.heads.unread_body.replace(unread_body);
+        Some(match framing {
+            Framing::Length(body) => length.checked_add(body).unwrap_or(UNLIMITED),
+            Framing::Chunked | Framing::Malformed => UNLIMITED,
+        })
+    }
+
+    /// Counts a complete head.
+    fn head_completed(&self) {
         self.heads.partial_since.set(None);
         self.heads.partial_bytes.set(0);
         self.heads.complete.set(self.heads.complete.get() + 1);
-        self.heads.rejection.set(rejection);
-        self.heads.unbounded_body.set(chunked);
-        let body = content_length.map_or(Some(0), |v| std::str::from_utf8(v).ok()?.parse::<u64>().ok());
-        let body = body.filter(|_| rejection.is_none());
-        let mut unread_body = match body {
-            Some(_) if chunked => UnreadBody::chunked(),
-            Some(body) => UnreadBody::Length(body),
-            None => UnreadBody::Unknown,
-        };
-        unread_body.read(&self.buffer[length as usize..]);
-        self.heads.unread_body.replace(unread_body);
-        let request = body.filter(|_| !chunked).and_then(|body| length.checked_add(body));
-        Some(request.unwrap_or(UNLIMITED))
     }
+
+    /// Rejects the request in the buffer. Hyper gets `substitute` in its place, so that it asks for the response
+    /// whatever it would make of the request, and nothing that follows. Returns the length of the substitute.
+    fn reject(&mut self, rejection: Rejection, substitute: String) -> u64 {
+        self.head_completed();
+        self.heads.rejection.set(Some(rejection));
+        self.heads.is_rejected.set(true);
+        self.heads.unbounded_body.set(false);
+        self.heads.unread_body.replace(UnreadBody::Length(0));
+        self.buffer = substitute.into_bytes();
+        self.buffer.len() as u64
+    }
+}
+
+/// Checks a request head that hyper would accept or reject in a way of its own.
+fn check(request: &httparse::Request<'_, '_>) -> Result<Framing, Rejection> {
+    let framing = framing::of_request(request.version, request.headers)?;
+    // Hyper drops the fragment, so that a different path would be forwarded.
+    if request.path.is_some_and(|path| path.contains('#')) {
+        return Err(Rejection::bad_request("bad path"));
+    }
+    Ok(framing)
+}
+
+/// Returns a request without a body that is answered in the form of this one: a response to HEAD has no body,
+/// and one to HTTP/1.0 has that version's framing.
+fn substitute(request: &httparse::Request<'_, '_>) -> String {
+    let method = if request.method == Some("HEAD") { "HEAD" } else { "GET" };
+    let minor_version = request.version.unwrap_or(1);
+    format!("{method} / HTTP/1.{minor_version}\r\n\r\n")
 }
 
 impl AsyncRead for HeadReader {
@@ -130,6 +160,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
+        if this.forwardable == 0 && this.heads.is_rejected.get() {
+            // Hyper closes the connection after the response, which no further input delays.
+            return Poll::Pending;
+        }
         while this.forwardable == 0 {
             if !this.buffer.is_empty() {
                 if let Some(bytes) = this.check_head() {
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -4,6 +4,7 @@
 //! - `accept` admits connections and selects the one to close when descriptors run out;
 //! - `client` serves a connection, `head_reader` checks its request heads before hyper reads them, and `close`
 //!   describes its end; `clients` is the registry of the open connections;
+//! - `framing` decides how the body of a request is framed, and `rejection` is why a request is rejected;
 //! - `upload_clock` tells when a client may have written the last byte of a body;
 //! - `unread_body` tells whether the rest of a body has arrived, with `chunked_end` for chunked ones;
 //! - `request` parses a request, and `answer` responds to it;
@@ -16,8 +17,10 @@
 mod clients;
 mod close;
 mod error;
+mod framing;
 mod head_reader;
 mod headers;
+mod rejection;
 mod request;
 mod resources;
 mod shutdown;
--- a/crates/proxy/src/front/request.rs
+++ b/crates/proxy/src/front/request.rs
@@ -1,6 +1,7 @@
 //! Parses a client request for the engine, or rejects it.
 
 use super::headers::{strip_hop_by_hop, CORRELATION_ID, IDEMPOTENCY_KEY};
+use super::rejection::Rejection;
 use super::Server;
 use crate::body_arrival::BodyArrival;
 use crate::time_left::TIME_LEFT;
@@ -14,7 +15,6 @@
 use hyper::{Method, Request, StatusCode};
 use std::rc::Rc;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::time::Instant;
 
 const ACCOUNT: HeaderName = HeaderName::from_static("x-account");
@@ -24,38 +24,6 @@
 /// Maximum value of the time-left header, in seconds. Larger values count as this.
 const MAX_TIME_LEFT: f64 = 3600.0;
 
-/// The rejection of a request before it reaches the engine.
-#[derive(Debug, Error)]
-#[error("{status}: {reason}")]
-pub struct Rejection {
-    /// The status of the response.
-    pub status: StatusCode,
-    /// The body of the response.
-    pub reason: &'static str,
-}
-
-impl Rejection {
-    fn new(status: StatusCode, reason: &'static str) -> Self {
-        Rejection { status, reason }
-    }
-
-    fn bad_request(reason: &'static str) -> Self {
-        Rejection::new(StatusCode::BAD_REQUEST, reason)
-    }
-}
-
-impl From<upload::UploadError> for Rejection {
-    fn from(error: upload::UploadError) -> Self {
-        let (status, reason) = match error {
-            upload::UploadError::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
-            upload::UploadError::Stalled => (StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
-            upload::UploadError::Broken => (StatusCode::BAD_REQUEST, "the body is broken"),
-            upload::UploadError::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "no room for the body"),
-        };
-        Rejection { status, reason }
-    }
-}
-
 /// A request that may be submitted to the engine.
 pub(super) struct ParsedRequest {
     pub(super) incoming: IncomingRequest<Job>,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 mod socket;
 mod startup;
 mod time_left;
+mod transfer_coding;
 mod upload;
 mod upstream;
 mod versions;
--- a/crates/proxy/src/upstream/answer.rs
+++ b/crates/proxy/src/upstream/answer.rs
@@ -3,15 +3,17 @@
 use super::{Outcome, UpstreamResponse};
 use crate::budget::{Budget, Reservation};
 use crate::relay::{ResponseBody, StreamRecord, StreamedBody};
+use crate::transfer_coding::TransferCoding;
 use crate::{MAX_BUFFERED_BODY_BYTES, MAX_STREAMED_BODY_BYTES};
 use aniseyoke_decision::api::{Load, Status};
 use http_body_util::BodyExt;
 use hyper::body::{Body as _, Bytes, Incoming};
-use hyper::header::{HeaderMap, HeaderName, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::http::response::Parts;
 use hyper::{Response, StatusCode, Version};
 use std::sync::Arc;
 use std::time::Duration;
+use thiserror::Error;
 use tokio::time::{sleep, Instant};
 
 /// Header set to 1 by a node that has not run the request.
@@ -23,10 +25,29 @@
 /// An answer of unknown length that is still incomplete this long after its head is streamed.
 const BUFFER_TIMEOUT: Duration = Duration::from_millis(20);
 
+/// Why an answer can't be used.
+#[derive(Debug, Error)]
+pub(super) enum AnswerError {
+    #[error("it switches the protocol")]
+    ProtocolSwitch,
+    #[error("it has both Content-Length and Transfer-Encoding")]
+    ContradictoryFraming,
+    #[error("its body has a transfer coding other than chunked alone")]
+    Coded,
+    #[error("the end of its body can't be determined")]
+    NoLength,
+    #[error("it is longer than allowed")]
+    TooLong,
+    #[error("it is broken: {0}")]
+    Broken(#[source] hyper::Error),
+    #[error("an error with a long body, which is not read")]
+    LongError,
+}
+
 /// The result of reading an answer.
 pub(super) enum Received {
     /// The answer can't be read, or is an error that is not read to its end; its connection must be closed.
-    Unusable,
+    Unusable(AnswerError),
     /// The answer was read to its end.
     Complete(Outcome),
     /// The rest of the answer is still to be received.
@@ -60,8 +81,8 @@
     budget: &Arc<Budget>,
     deadline: Instant,
 ) -> Received {
-    if is_malformed(&response) {
-        return Received::Unusable;
+    if let Err(error) = check_head(&response) {
+        return Received::Unusable(error);
     }
     let (head, mut body) = response.into_parts();
     let size = body.size_hint();
@@ -89,7 +110,10 @@
         };
         let Some(frame) = frame else { break };
         // The node may have run the request although its answer can't be read.
-        let Ok(frame) = frame else { return Received::Unusable };
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) => return Received::Unusable(AnswerError::Broken(error)),
+        };
         let Ok(data) = frame.into_data() else { continue };
         read_ahead.extend_from_slice(&data);
         if reservation.is_none() || read_ahead.len() > MAX_BUFFERED_BODY_BYTES {
@@ -100,7 +124,7 @@
                     rest: body,
                 }),
                 // A long error body is not read to its end.
-                _ => Received::Unusable,
+                _ => Received::Unusable(AnswerError::LongError),
             };
         }
     }
@@ -118,18 +142,45 @@
     }
 }
 
-/// Whether an answer's head is invalid: a protocol switch, contradictory framing, a length over the limit, or
-/// no length on a connection that stays open, where the end of the body can't be determined.
-fn is_malformed(response: &Response<Incoming>) -> bool {
+/// Checks that the head of an answer is valid, and that the body is what the node meant to send. Hyper undoes only
+/// the last transfer coding of a body.
+fn check_head(response: &Response<Incoming>) -> Result<(), AnswerError> {
     let headers = response.headers();
-    let has_length = headers.contains_key(CONTENT_LENGTH);
-    let has_coding = headers.contains_key(TRANSFER_ENCODING);
-    let closes = response.version() == Version::HTTP_10
-        || headers.get_all(CONNECTION).iter().any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"));
-    response.status().is_informational()
-        || has_length && has_coding
-        || response.body().size_hint().lower() > MAX_STREAMED_BODY_BYTES
-        || !has_length && !has_coding && !closes && !response.body().is_end_stream()
+    let lines = headers.get_all(TRANSFER_ENCODING).iter();
+    let coding = TransferCoding::of(lines.map(HeaderValue::as_bytes));
+    if response.status().is_informational() {
+        return Err(AnswerError::ProtocolSwitch);
+    }
+    if headers.contains_key(CONTENT_LENGTH) && coding != TransferCoding::None {
+        return Err(AnswerError::ContradictoryFraming);
+    }
+    if response.body().size_hint().lower() > MAX_STREAMED_BODY_BYTES {
+        return Err(AnswerError::TooLong);
+    }
+    if response.body().is_end_stream() {
+        return Ok(());
+    }
+    let is_coded = matches!(coding, TransferCoding::ChunkedOverOthers | TransferCoding::Undelimited);
+    // Of other answers the body is not used.
+    if is_coded && response.status() == StatusCode::OK {
+        return Err(AnswerError::Coded);
+    }
+    let is_delimited = headers.contains_key(CONTENT_LENGTH)
+        || matches!(coding, TransferCoding::Chunked | TransferCoding::ChunkedOverOthers);
+    if !is_delimited && !closes(response) {
+        return Err(AnswerError::NoLength);
+    }
+    Ok(())
+}
+
+/// Whether the node closes the connection after its answer.
+fn closes(response: &Response<Incoming>) -> bool {
+    response.version() == Version::HTTP_10
+        || response
+            .headers()
+            .get_all(CONNECTION)
+            .iter()
+            .any(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
 }
 
 fn status(head: &Parts) -> Status {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -190,7 +190,10 @@
         let Ok(response) = response else { return Err(self.send_error(&connection, reused)) };
         self.log.head_received();
         match receive(response, &self.pool.answer_budget, self.deadline).await {
-            Received::Unusable => Err(TryError::Ended(Status::Reset)),
+            Received::Unusable(error) => {
+                self.log.unusable(&error);
+                Err(TryError::Ended(Status::Reset))
+            }
             Received::Complete(outcome) => {
                 self.connection_use(epoch, connection).end();
                 Ok(outcome)
--- a/crates/proxy/src/upstream/attempt_log.rs
+++ b/crates/proxy/src/upstream/attempt_log.rs
@@ -1,5 +1,6 @@
 //! Log records and counters of attempts: the request and node of each, and how it ended.
 
+use super::answer::AnswerError;
 use super::job::Job;
 use crate::metrics::{Metric, Metrics};
 use aniseyoke_decision::api::{ServerId, Status};
@@ -44,6 +45,11 @@
         self.head_at.set(Some(Instant::now()));
     }
 
+    /// Records that the answer can't be used.
+    pub(super) fn unusable(&self, error: &AnswerError) {
+        tracing::info!("{} has an answer that can't be used: {error}", self.describe());
+    }
+
     /// Records the outcome.
     pub(super) fn end(&self, status: Status) {
         self.ended.set(true);
