Fix: a node that an earlier process saw listed can be banned after any number of upgrades

Cause: the nodes that were ever listed were in the memory of each process alone (core::seen_servers), and ban turns down an id that is not among them.

Change: proxy::listed_nodes owns them, on proxy::shared_ids: the table of ids that requests already had, now one for each set in the file of a process. Each process reads the files of all others, running or ended, and begins with that of its place.

Why it works: an id is in the page cache before the list is acted on, whoever ends how, and a call looks into all files.

--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -16,7 +16,6 @@
 use crate::endpoint_list::{Endpoint, EndpointList};
 use crate::limits::{Limits, LimitsConfigError};
 use crate::pending_response::Answer;
-use crate::seen_servers::SeenServers;
 use crate::start_times::StartTimes;
 use crate::transport::Transport;
 use aniseyoke_decision::api::{Action, Event, ListKind, Nanos};
@@ -47,7 +46,6 @@
     transport: Rc<T>,
     /// Requests to subscribe to the endpoint list.
     discovery_requests: mpsc::UnboundedSender<()>,
-    seen_servers: RefCell<SeenServers>,
     counters: Arc<RequestCounters>,
     /// Whether discovery has reported a list since the start.
     list_received: Cell<bool>,
@@ -85,7 +83,6 @@
             state: RefCell::new(state),
             transport,
             discovery_requests,
-            seen_servers: RefCell::default(),
             counters: Arc::default(),
             list_received: Cell::new(false),
             answer_by: Rc::default(),
--- a/crates/core/src/engine/endpoints.rs
+++ b/crates/core/src/engine/endpoints.rs
@@ -16,7 +16,6 @@
         if matches!(kind, ListKind::Full | ListKind::Delta) {
             self.list_received.set(true);
         }
-        endpoints.iter().for_each(|(entry, _)| self.seen_servers.borrow_mut().add(entry.server));
         let state = &mut *self.state.borrow_mut();
         let mut endpoints = self.correct_start_times(state, endpoints);
         if kind != ListKind::Failed {
@@ -79,15 +78,14 @@
         active.map(|(entry, _)| entry.clone()).collect()
     }
 
-    /// Whether a server of this name has been listed and is still remembered.
-    pub fn was_listed(&self, name: &str) -> bool {
-        self.seen_servers.borrow().contains(server_id(name))
+    /// Whether a server of this name is on the list.
+    pub fn is_listed(&self, name: &str) -> bool {
+        self.state.borrow().endpoint_list.start_time(server_id(name)).is_some()
     }
 
     /// Bans a server on behalf of an operator, or lifts the ban.
     pub fn set_banned(&self, name: &str, banned: bool) {
         let server = server_id(name);
-        self.seen_servers.borrow_mut().add(server);
         self.transport.set_banned(server, banned);
         let event = if banned { Event::Excluded(server) } else { Event::Included(server) };
         self.handle_event(&mut self.state.borrow_mut(), event);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod engine;
 pub mod limits;
 pub mod pending_response;
-mod seen_servers;
 mod start_times;
 pub mod transport;
 
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -4,6 +4,7 @@
 use super::admin::{AdminReply, Call};
 use super::discovery::ListStatus;
 use super::drain::Drain;
+use super::listed_nodes::ListedNodes;
 use super::metrics::Metrics;
 use super::operator_orders::{OperatorOrders, OrderStore};
 use super::Engine;
@@ -23,6 +24,7 @@
 /// Handler of the calls to the admin endpoint.
 pub struct AdminHandler {
     engine: Rc<Engine>,
+    listed_nodes: Rc<ListedNodes>,
     drain: Rc<Drain>,
     store: OrderStore,
     sources: StatusSources,
@@ -34,9 +36,15 @@
 
 impl AdminHandler {
     /// Creates a handler, and applies the stored orders of earlier processes.
-    pub fn new(engine: Rc<Engine>, drain: Rc<Drain>, store: OrderStore, sources: StatusSources) -> Rc<Self> {
+    pub fn new(
+        engine: Rc<Engine>,
+        listed_nodes: Rc<ListedNodes>,
+        drain: Rc<Drain>,
+        store: OrderStore,
+        sources: StatusSources,
+    ) -> Rc<Self> {
         let (applied, serving) = (RefCell::default(), Cell::new(false));
-        let handler = AdminHandler { engine, drain, store, sources, applied, serving };
+        let handler = AdminHandler { engine, listed_nodes, drain, store, sources, applied, serving };
         handler.apply_stored_orders();
         Rc::new(handler)
     }
@@ -88,9 +96,8 @@
     }
 
     async fn ban(&self, id: String, banned: bool) -> AdminReply {
-        // A node that another process banned may have left the list before this process started.
         self.apply_stored_orders();
-        if !self.engine.was_listed(&id) {
+        if !(self.listed_nodes.contains(&id) || self.engine.is_listed(&id)) {
             return AdminReply::NotFound("no such cache node was ever listed");
         }
         let change = |orders: &mut OperatorOrders| {
@@ -116,6 +123,8 @@
 
     fn apply_orders(&self) {
         let orders = self.store.orders();
+        // Only a node that was listed can be banned.
+        orders.bans.iter().for_each(|id| self.listed_nodes.record_id(id));
         let previous = self.applied.replace(orders.clone());
         orders.bans.difference(&previous.bans).for_each(|id| self.engine.set_banned(id, true));
         previous.bans.difference(&orders.bans).for_each(|id| self.engine.set_banned(id, false));
--- a/crates/proxy/src/discovery/watcher.rs
+++ b/crates/proxy/src/discovery/watcher.rs
@@ -7,6 +7,7 @@
 use crate::config::{EndpointList, Names};
 use crate::descriptors::DescriptorBudget;
 use crate::duration::nanos;
+use crate::listed_nodes::ListedNodes;
 use crate::Engine;
 use aniseyoke_decision::api::{ListKind, Nanos};
 use aniseyoke_pace::WatchTimeouts;
@@ -35,6 +36,7 @@
     /// Reused across polls.
     connection: Option<Connection>,
     names: Rc<Names>,
+    listed_nodes: Rc<ListedNodes>,
     /// Backoff before the next poll, at a new address that has not answered yet.
     new_address_backoff: Option<Duration>,
     polling: Option<ListPolling>,
@@ -75,6 +77,7 @@
         version: Option<u64>,
         poll_within: Nanos,
         names: Rc<Names>,
+        listed_nodes: Rc<ListedNodes>,
         polling: Option<ListPolling>,
     ) -> Self {
         EndpointWatcher {
@@ -85,6 +88,7 @@
             descriptors: DescriptorBudget::new(DESCRIPTORS),
             connection: None,
             names,
+            listed_nodes,
             new_address_backoff: None,
             polling,
         }
@@ -163,6 +167,7 @@
         self.new_address_backoff = None;
         self.timeouts.answered(nanos(self.started.elapsed()));
         self.polling.iter_mut().for_each(|polling| polling.answered(list));
+        self.listed_nodes.record(list);
         let kind = if list.full { ListKind::Full } else { ListKind::Delta };
         engine.update_endpoints(kind, &self.names.entries(list));
     }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -162,7 +162,7 @@
     let limits = ResourceLimits::new(&config, engine_options.reserved_memory);
     let mgmt = config.mgmt;
     let parts = startup::build(config, engine_options, &limits, &peers, handed_over)?;
-    let Parts { server, watcher, watch_requests } = parts;
+    let Parts { server, watcher, watch_requests, listed_nodes } = parts;
     (hooks.started)(server.engine.clone(), addr)?;
     start_timer.complete(StartPhase::Engine);
 
@@ -178,7 +178,8 @@
     let store = OrderStore::open(state_dir);
     let AdminOptions { version_info, list_status } = admin_options;
     let sources = StatusSources { version_info, list_status, metrics: server.metrics.clone() };
-    let control = AdminHandler::new(server.engine.clone(), server.drain.clone(), store, sources);
+    let control =
+        AdminHandler::new(server.engine.clone(), listed_nodes, server.drain.clone(), store, sources);
     if let Some(mgmt) = mgmt {
         open_admin_endpoint(mgmt, &control).await?;
     }
--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -10,9 +10,11 @@
 use crate::descriptors::DescriptorBudget;
 use crate::discovery::EndpointWatcher;
 use crate::drain::Drain;
+use crate::listed_nodes::ListedNodes;
 use crate::metrics::Metrics;
 use crate::peers::Peers;
 use crate::request_ids::RequestIds;
+use crate::shared_ids::IdFiles;
 use crate::upstream::Upstreams;
 use crate::{handover, Engine};
 use std::cell::{Cell, RefCell};
@@ -55,6 +57,7 @@
     pub(super) watcher: EndpointWatcher,
     /// Receives the engine's requests to start a watch.
     pub(super) watch_requests: mpsc::UnboundedReceiver<()>,
+    pub(super) listed_nodes: Rc<ListedNodes>,
 }
 
 /// Builds the server, its engine and the client of the discovery service.
@@ -82,11 +85,15 @@
     // A process that takes over requests the full list. A request for changes since a known version gets no
     // answer while nothing changes, which can't be distinguished from a discovery service that is down.
     let version = config.initial_list.as_ref().filter(|_| !handed_over).map(|known| known.version);
+    let id_files = IdFiles::open(peers.slot());
+    let listed_nodes = ListedNodes::open(id_files.clone());
+    config.initial_list.iter().for_each(|known| listed_nodes.record(known));
     let watcher = EndpointWatcher::new(
         config.discovery,
         version,
         config.settings.poll_within,
         names.clone(),
+        listed_nodes.clone(),
         options.polling,
     );
     let known = config.initial_list.as_ref().map_or_else(Vec::new, |known| names.entries(known));
@@ -105,8 +112,8 @@
         other_processes: Cell::new(0),
         clients: Rc::default(),
         pending_connection: RefCell::default(),
-        request_ids: RequestIds::new(peers.slot()),
+        request_ids: RequestIds::new(id_files),
         metrics,
     });
-    Ok(Parts { server, watcher, watch_requests })
+    Ok(Parts { server, watcher, watch_requests, listed_nodes })
 }
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -66,7 +66,7 @@
     pub fn other_claims(&self) -> Vec<Option<usize>> {
         let (Some(dir), Some(own)) = (&self.dir, &self.own) else { return Vec::new() };
         let others = (0..MAX_PROCESSES).filter(|number| *number != own.number);
-        others.filter(|number| is_taken(dir, *number)).map(|number| read_claim(dir, number)).collect()
+        others.filter(|number| is_running(dir, *number)).map(|number| read_claim(dir, number)).collect()
     }
 }
 
@@ -87,7 +87,8 @@
     }
 }
 
-fn is_taken(dir: &Path, number: usize) -> bool {
+/// Whether a process with this slot is running.
+pub fn is_running(dir: &Path, number: usize) -> bool {
     File::open(slot_path(dir, number)).is_ok_and(|file| file.try_lock_shared().is_err())
 }
 
--- a/crates/proxy/src/request_ids/mod.rs
+++ b/crates/proxy/src/request_ids/mod.rs
@@ -4,12 +4,8 @@
 //! with the first. Where the class of a request must not run twice, one whose id was sent to a node before must not
 //! run again, even if its client has left or another process of this proxy has sent it.
 
-mod history;
-mod table;
-
-use crate::peers::SharedSlot;
+use crate::shared_ids::{Change, IdFiles, IdSet, SharedIds};
 use aniseyoke_decision::api;
-use history::{HistoryEntry, IdHistory};
 use hyper::header::HeaderValue;
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
@@ -40,13 +36,13 @@
 pub struct RequestIds {
     /// The ids in progress. The hash must be keyed, since clients choose the ids.
     open: RefCell<HashSet<HeaderValue>>,
-    history: IdHistory,
+    history: SharedIds,
 }
 
 impl RequestIds {
-    /// Creates the ids of a process; `slot` is its place among the processes of the proxy.
-    pub fn new(slot: Option<SharedSlot>) -> Rc<Self> {
-        Rc::new(RequestIds { open: RefCell::default(), history: IdHistory::open(slot) })
+    /// Creates the ids of a process; `files` are shared with the other processes of the proxy.
+    pub fn new(files: Option<Rc<IdFiles>>) -> Rc<Self> {
+        Rc::new(RequestIds { open: RefCell::default(), history: SharedIds::open(IdSet::Sent, files) })
     }
 
     /// Reserves the id of a request; `runs_once` if it must not run twice.
@@ -72,7 +68,7 @@
     ids: Rc<RequestIds>,
     id: HeaderValue,
     /// Its entry in the history, if the request must not run twice.
-    entry: Option<HistoryEntry>,
+    entry: Option<Change>,
     /// Whether an attempt may have been written.
     sent: Cell<bool>,
 }
--- a/crates/proxy/src/request_ids/tests.rs
+++ b/crates/proxy/src/request_ids/tests.rs
@@ -1,4 +1,3 @@
-use super::table::{IdHash, IdTable, BUCKET_ENTRIES};
 use super::*;
 use crate::peers::Peers;
 
@@ -30,7 +29,8 @@
     let folder = tempfile::tempdir().expect("a folder");
     let dir = Some(folder.path().to_path_buf());
     let (old_peers, new_peers) = (Peers::join(dir.clone()), Peers::join(dir.clone()));
-    let (old, new) = (RequestIds::new(old_peers.slot()), RequestIds::new(new_peers.slot()));
+    let (old, new) =
+        (RequestIds::new(IdFiles::open(old_peers.slot())), RequestIds::new(IdFiles::open(new_peers.slot())));
     let sent = old.reserve(&id("old"), true).expect("free");
     sent.mark_sent();
     assert_eq!(new.reserve(&id("old"), true).err(), Some(IdError::Sent));
@@ -40,27 +40,13 @@
     // An id that was refused at one process is not recorded by it.
     drop((old, old_peers));
     let third_peers = Peers::join(dir);
-    let third = RequestIds::new(third_peers.slot());
+    let third = RequestIds::new(IdFiles::open(third_peers.slot()));
     for known in ["old", "new"] {
         assert_eq!(third.reserve(&id(known), true).err(), Some(IdError::Sent), "{known}");
     }
     assert!(third.reserve(&id("free"), true).is_ok());
 }
 
-/// Guards against a table that grows, or that forgets new ids before old ones.
-#[test]
-fn a_full_bucket_forgets_its_oldest_id() {
-    let mut table = IdTable::new();
-    let ids: Vec<_> = (1..=2 * BUCKET_ENTRIES as u64).map(|n| IdHash::new(n << 40 | 7)).collect();
-    for (position, id) in ids.iter().enumerate() {
-        assert!(!table.contains(*id));
-        table.insert(*id);
-        let known: Vec<_> = ids[..=position].iter().filter(|id| table.contains(**id)).collect();
-        let newest = &ids[(position + 1).saturating_sub(BUCKET_ENTRIES)..=position];
-        assert_eq!(known, newest.iter().collect::<Vec<_>>());
-    }
-}
-
 /// Guards against a process that does not start, or rejects requests, since the files of ids are damaged or can't be
 /// used.
 #[test]
@@ -80,7 +66,7 @@
     for (round, damage) in damages.iter().enumerate() {
         damage();
         let peers = Peers::join(dir.clone());
-        let ids = RequestIds::new(peers.slot());
+        let ids = RequestIds::new(IdFiles::open(peers.slot()));
         let name = id(&format!("id-{round}"));
         ids.reserve(&name, true).expect("free").mark_sent();
         assert_eq!(ids.reserve(&name, true).err(), Some(IdError::Sent));
