Fix: what discovery told one process of an upgrade binds the others, also in an outage

Cause: bans, the drain and ids of requests are shared in $TMPDIR; the endpoint list was not.

Change: where the listening socket is handed over, each process writes its list to a file of its own (in the background) and reads those of the others: at its start that of a running process, or a newer one of an ended process, and then ten times a second what is newer than its own. discovery::current_list owns the list in force: an answer to a poll of before such a takeover that is older has no effect. The platform's list is not passed on. The decision module has a kind of list for it, which does not count as an answer to its call. kept.rs and shared_list.rs share merged_list.rs and list_file.rs; FileStamp has a module of its own.

Why it works: news is on file some milliseconds after it was told, each process looks ten times a second, the rule leaves 2 s.

--- a/crates/core/src/engine/endpoints.rs
+++ b/crates/core/src/engine/endpoints.rs
@@ -13,7 +13,7 @@
 impl<T: Transport> Engine<T> {
     /// Applies an update of the endpoint list.
     pub fn update_endpoints(&self, kind: ListKind, endpoints: &[Endpoint]) {
-        if matches!(kind, ListKind::Full | ListKind::Delta) {
+        if kind.answers_call() {
             self.list_received.set(true);
         }
         let state = &mut *self.state.borrow_mut();
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -249,6 +249,15 @@
     Failed,
     /// Only the changed entries, set by an operator and not by the discovery service.
     Overlay,
+    /// The complete list as another process of this proxy was told it by the discovery service.
+    Shared,
+}
+
+impl ListKind {
+    /// Whether it is what the discovery service answers to a call of this process.
+    pub fn answers_call(self) -> bool {
+        matches!(self, ListKind::Delta | ListKind::Full)
+    }
 }
 
 /// How an attempt or health check ended.
--- a/crates/decision/src/subscription.rs
+++ b/crates/decision/src/subscription.rs
@@ -35,7 +35,7 @@
             self.call_after_backoff(random, actions);
         } else if self.settings.subscribes && kind == ListKind::Cached {
             self.call_after_backoff(random, actions);
-        } else if self.settings.subscribes && self.call_pending && kind != ListKind::Overlay {
+        } else if self.settings.subscribes && self.call_pending && kind.answers_call() {
             (self.established, self.call_pending, self.failures) = (true, false, 0);
         }
     }
--- a/crates/proxy/src/discovery/kept.rs
+++ b/crates/proxy/src/discovery/kept.rs
@@ -1,15 +1,15 @@
 //! The cache of the endpoint list on disk: read and validated at the start, and written as the service sends
 //! changes.
 
+use super::list_file;
+use super::merged_list::MergedList;
 use super::status::{ListSource, ListStatus};
 use crate::background_writer::BackgroundWriter;
-use crate::config::{Config, Endpoint, EndpointList};
+use crate::config::{Config, EndpointList};
 use crate::wall_clock::unix_millis;
 use aniseyoke_config::model::List;
-use aniseyoke_control::checksummed_file::{ChecksummedFile, Disk, Loaded};
 use aniseyoke_pace::retained_list::{check_age, ListMetadata};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -22,11 +22,6 @@
 /// An unchanged list is rewritten after this fraction of the time for which it may be used, so that it stays
 /// fresh.
 const REFRESH_DIVISOR: u32 = 8;
-/// Most entries of a list that is cached.
-const MAX_ENTRIES: usize = 1 << 14;
-/// Longest file that is read. A list of the most entries is shorter, and a proxy may have only 32 MB of
-/// memory in total.
-const MAX_FILE_BYTES: u64 = 4 << 20;
 
 /// Content of the file.
 #[derive(Serialize, Deserialize)]
@@ -55,8 +50,7 @@
 /// The current list as sent by the service, and the writer of its file.
 pub struct CachedListWriter {
     site: String,
-    /// Entries by id; `None` until the full list is known.
-    entries: Option<BTreeMap<String, Endpoint>>,
+    list: MergedList,
     /// Version of the list that was written last, if any.
     version: Option<u64>,
     written: Option<Instant>,
@@ -91,7 +85,7 @@
         None => platform_status(config),
     };
     // The service's next answer may hold changes to the initial list, wherever that came from.
-    let list = config.initial_list.as_ref().filter(|list| list.full);
+    let list = config.initial_list.as_ref();
     let writer = CachedListWriter::start(folder, file, site, rules.fresh_for / REFRESH_DIVISOR, list);
     (status, writer.map_err(|error| tracing::warn!("the list is not kept: {error}")).ok())
 }
@@ -99,30 +93,7 @@
 /// Returns the list of a file and its age, if the list may be used.
 fn load(file: &Path, site: &str, fresh_for: Duration, config: &Config) -> Option<(CachedList, Duration)> {
     let name = file.display();
-    let length = std::fs::metadata(file).map_or(0, |metadata| metadata.len());
-    if length > MAX_FILE_BYTES {
-        tracing::warn!("{name}: the kept list is not used: {length} bytes are more than {MAX_FILE_BYTES}");
-        return None;
-    }
-    let cached: CachedList = match ChecksummedFile::new(Disk, file.to_owned(), MAGIC).load() {
-        Ok(Loaded::Missing) => return None,
-        Ok(Loaded::Intact(payload)) => match serde_json::from_slice(&payload) {
-            Ok(cached) => cached,
-            Err(e) => {
-                tracing::warn!("{name}: the kept list can't be read and is not used: {e}");
-                return None;
-            }
-        },
-        Ok(Loaded::Damaged { reason: cause, quarantined: destination }) => {
-            let action = destination.map_or("left".to_owned(), |to| format!("put aside as {}", to.display()));
-            tracing::warn!("{name}: the kept list is damaged, not used and {action}: {cause}");
-            return None;
-        }
-        Err(e) => {
-            tracing::warn!("{name}: the kept list can't be read and is not used: {e}");
-            return None;
-        }
-    };
+    let cached: CachedList = list_file::load(file, MAGIC)?;
     let metadata = ListMetadata {
         site: cached.site.clone(),
         version: cached.list.version,
@@ -155,25 +126,10 @@
     ) -> Result<Self, CacheError> {
         let no_folder = |source| CacheError::Folder { folder: folder.to_owned(), source };
         std::fs::create_dir_all(folder).map_err(no_folder)?;
-        let mut store = ChecksummedFile::new(Disk, file, MAGIC);
-        let mut failing = false;
-        let write = move |cached: &CachedList| {
-            let payload = serde_json::to_vec(cached).map_err(std::io::Error::from);
-            let saved = payload.and_then(|payload| store.save(&payload));
-            match (&saved, failing) {
-                (Err(e), false) => {
-                    tracing::warn!("{}: the list could not be stored: {e}", store.path().display());
-                }
-                (Ok(()), true) => tracing::info!("{}: the list is stored again", store.path().display()),
-                _ => {}
-            }
-            failing = saved.is_err();
-            !failing
-        };
-        let writer = BackgroundWriter::start(write).map_err(CacheError::Thread)?;
+        let writer = list_file::start_writer(file, MAGIC).map_err(CacheError::Thread)?;
         Ok(CachedListWriter {
             site,
-            entries: list.map(by_id),
+            list: MergedList::new(list),
             version: None,
             written: None,
             refresh_interval,
@@ -184,20 +140,7 @@
     /// Applies the full list or changes to it, perhaps none, and writes the result if it changed or must be
     /// refreshed.
     pub fn update(&mut self, received: &EndpointList) {
-        if received.full {
-            self.entries = Some(by_id(received));
-        }
-        // Changes to an unknown list can't be applied; caching resumes with the next full list.
-        let Some(entries) = &mut self.entries else { return };
-        for endpoint in received.servers.iter().filter(|_| !received.full) {
-            if endpoint.gone() {
-                entries.remove(endpoint.id());
-            } else {
-                entries.insert(endpoint.id().to_owned(), endpoint.clone());
-            }
-        }
-        if entries.len() > MAX_ENTRIES {
-            self.entries = None;
+        if !self.list.apply(received) {
             return;
         }
         let changed = self.version.replace(received.version) != Some(received.version);
@@ -205,16 +148,7 @@
             return;
         }
         self.written = Some(Instant::now());
-        let list = EndpointList {
-            version: received.version,
-            full: true,
-            servers: entries.values().cloned().collect(),
-        };
+        let Some(list) = self.list.to_list(received.version) else { return };
         self.writer.write(CachedList { site: self.site.clone(), at_ms: unix_millis(), list });
     }
 }
-
-fn by_id(list: &EndpointList) -> BTreeMap<String, Endpoint> {
-    let listed = list.servers.iter().filter(|endpoint| !endpoint.gone());
-    listed.map(|endpoint| (endpoint.id().to_owned(), endpoint.clone())).collect()
-}
--- a/crates/proxy/src/discovery/watcher.rs
+++ b/crates/proxy/src/discovery/watcher.rs
@@ -2,12 +2,12 @@
 //! polls in this proxy's own slots if the operator's file limits polls.
 
 use super::connection::{Connection, DESCRIPTORS};
+use super::current_list::CurrentList;
 use super::error::{ExchangeError, PollError};
 use super::polling::ListPolling;
-use crate::config::{EndpointList, Names};
+use crate::config::EndpointList;
 use crate::descriptors::DescriptorBudget;
 use crate::duration::nanos;
-use crate::listed_nodes::ListedNodes;
 use crate::Engine;
 use aniseyoke_decision::api::{ListKind, Nanos};
 use aniseyoke_pace::WatchTimeouts;
@@ -35,8 +35,7 @@
     descriptors: Rc<DescriptorBudget>,
     /// Reused across polls.
     connection: Option<Connection>,
-    names: Rc<Names>,
-    listed_nodes: Rc<ListedNodes>,
+    current_list: Rc<CurrentList>,
     /// Backoff before the next poll, at a new address that has not answered yet.
     new_address_backoff: Option<Duration>,
     polling: Option<ListPolling>,
@@ -76,8 +75,7 @@
         addr: SocketAddr,
         version: Option<u64>,
         poll_within: Nanos,
-        names: Rc<Names>,
-        listed_nodes: Rc<ListedNodes>,
+        current_list: Rc<CurrentList>,
         polling: Option<ListPolling>,
     ) -> Self {
         EndpointWatcher {
@@ -87,8 +85,7 @@
             started: Instant::now(),
             descriptors: DescriptorBudget::new(DESCRIPTORS),
             connection: None,
-            names,
-            listed_nodes,
+            current_list,
             new_address_backoff: None,
             polling,
         }
@@ -163,13 +160,12 @@
 
     /// Passes a list, or changes to it, to the engine.
     fn apply(&mut self, engine: &Engine, list: &EndpointList) {
-        self.version = Some(list.version);
         self.new_address_backoff = None;
         self.timeouts.answered(nanos(self.started.elapsed()));
         self.polling.iter_mut().for_each(|polling| polling.answered(list));
-        self.listed_nodes.record(list);
-        let kind = if list.full { ListKind::Full } else { ListKind::Delta };
-        engine.update_endpoints(kind, &self.names.entries(list));
+        let applied = self.current_list.apply(engine, list);
+        // Otherwise the next poll is for the full list.
+        self.version = applied.then_some(list.version);
     }
 
     /// Records a failed poll and decides what to do next.
@@ -210,6 +206,7 @@
     fn change_address(&mut self, addr: SocketAddr) {
         tracing::info!("the discovery service moved to {addr}");
         (self.addr, self.version, self.connection) = (addr, None, None);
+        self.current_list.change_service(addr);
         self.new_address_backoff = Some(NEW_ADDRESS_BACKOFF);
         self.timeouts.address_changed();
         self.polling.iter_mut().for_each(ListPolling::address_changed);
@@ -246,6 +243,7 @@
         let time_limit = scheduled.unwrap_or_else(|| Duration::from_nanos(self.timeouts.call_timeout(full)));
         self.polling.iter_mut().for_each(ListPolling::poll_started);
         self.timeouts.call_started(nanos(self.started.elapsed()));
+        self.current_list.poll_started();
         timeout(time_limit, self.exchange()).await.unwrap_or(Err(PollError::TimedOut))
     }
 
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -162,7 +162,7 @@
     let limits = ResourceLimits::new(&config, engine_options.reserved_memory);
     let mgmt = config.mgmt;
     let parts = startup::build(config, engine_options, &limits, &peers, handed_over)?;
-    let Parts { server, watcher, watch_requests, listed_nodes } = parts;
+    let Parts { server, watcher, watch_requests, listed_nodes, current_list } = parts;
     (hooks.started)(server.engine.clone(), addr)?;
     start_timer.complete(StartPhase::Engine);
 
@@ -186,6 +186,7 @@
     let (orders, limited_server) = (control.clone(), server.clone());
     every(CHECK_INTERVAL, move || {
         orders.apply_stored_orders();
+        current_list.take_over(&limited_server.engine);
         limited_server.adjust_limits(&limits, &peers);
     });
     tokio::select! {
--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -8,7 +8,7 @@
 use crate::budget::Budget;
 use crate::config::Config;
 use crate::descriptors::DescriptorBudget;
-use crate::discovery::EndpointWatcher;
+use crate::discovery::{CurrentList, EndpointWatcher, SharedList};
 use crate::drain::Drain;
 use crate::listed_nodes::ListedNodes;
 use crate::metrics::Metrics;
@@ -58,6 +58,7 @@
     /// Receives the engine's requests to start a watch.
     pub(super) watch_requests: mpsc::UnboundedReceiver<()>,
     pub(super) listed_nodes: Rc<ListedNodes>,
+    pub(super) current_list: Rc<CurrentList>,
 }
 
 /// Builds the server, its engine and the client of the discovery service.
@@ -87,16 +88,23 @@
     let version = config.initial_list.as_ref().filter(|_| !handed_over).map(|known| known.version);
     let id_files = IdFiles::open(peers.slot());
     let listed_nodes = ListedNodes::open(id_files.clone());
-    config.initial_list.iter().for_each(|known| listed_nodes.record(known));
+    // Other processes run beside this one only where the socket is handed over.
+    let shared_list = peers.slot().filter(|_| handed_over).map(SharedList::open);
+    let (current_list, initial_list) = CurrentList::open(
+        config.discovery,
+        config.initial_list,
+        names.clone(),
+        listed_nodes.clone(),
+        shared_list,
+    );
     let watcher = EndpointWatcher::new(
         config.discovery,
         version,
         config.settings.poll_within,
-        names.clone(),
-        listed_nodes.clone(),
+        current_list.clone(),
         options.polling,
     );
-    let known = config.initial_list.as_ref().map_or_else(Vec::new, |known| names.entries(known));
+    let known = initial_list.as_ref().map_or_else(Vec::new, |list| names.entries(list));
     let (request_watch, watch_requests) = mpsc::unbounded_channel();
     let engine = Engine::new(options.plan, config.seed, &known, upstreams.clone(), request_watch);
     let engine = engine.map_err(|error| StartError::Engine(error.to_string()))?;
@@ -115,5 +123,5 @@
         request_ids: RequestIds::new(id_files),
         metrics,
     });
-    Ok(Parts { server, watcher, watch_requests, listed_nodes })
+    Ok(Parts { server, watcher, watch_requests, listed_nodes, current_list })
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod discovery;
 pub mod drain;
 mod duration;
+mod file_stamp;
 pub mod front;
 mod handover;
 mod listed_nodes;
--- a/crates/proxy/src/operator_orders.rs
+++ b/crates/proxy/src/operator_orders.rs
@@ -1,14 +1,14 @@
 //! Operators' orders that must outlive the process: bans and the drain. They are stored in one small file,
 //! which the old and the new process share during a handover.
 
+use crate::file_stamp::FileStamp;
 use crate::signals;
 use aniseyoke_control::checksummed_file::{Disk, Files};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
-use std::fs::{self, File, OpenOptions, TryLockError};
+use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, ErrorKind, Read};
-use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 use tokio::time::{sleep, Instant};
@@ -71,14 +71,6 @@
     Writer(#[from] tokio::task::JoinError),
 }
 
-/// Identifies one version of the file. Stamps are only compared for equality, so that a step of the wall
-/// clock can't make a new version seem older. The inode differs too, since each version is a new file.
-#[derive(Clone, Copy, PartialEq)]
-struct FileStamp {
-    inode: u64,
-    modified: (i64, i64),
-}
-
 /// The operators' orders, and the file that holds them.
 pub struct OrderStore {
     /// Folder of the file; `None` if orders are not stored.
@@ -105,7 +97,7 @@
     /// Reads the orders of other processes from the file. Returns whether they changed.
     pub fn refresh(&self) -> bool {
         let Some(dir) = &self.dir else { return false };
-        let stamp = file_stamp(&dir.join(FILE));
+        let stamp = FileStamp::of(&dir.join(FILE));
         if stamp.is_none() || stamp == self.stamp.get() {
             return false;
         }
@@ -185,11 +177,6 @@
     }
 }
 
-fn file_stamp(path: &Path) -> Option<FileStamp> {
-    let metadata = fs::metadata(path).ok()?;
-    Some(FileStamp { inode: metadata.ino(), modified: (metadata.mtime(), metadata.mtime_nsec()) })
-}
-
 /// Reads the orders from the file. Returns `None` if there is no file.
 fn read(dir: &Path) -> Result<Option<OperatorOrders>, OrdersError> {
     let path = dir.join(FILE);
--- a/crates/proxy/src/operator_orders/tests.rs
+++ b/crates/proxy/src/operator_orders/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use std::fs;
 use tempfile::TempDir;
 
 fn temp_dir() -> TempDir {
--- a/crates/proxy/tests/upgrades.rs
+++ b/crates/proxy/tests/upgrades.rs
@@ -105,3 +105,87 @@
         }
     }
 }
+
+/// Reads for as long as a process may still send to nodes that it was told of, and a little longer.
+fn read_past_grace(platform: &Platform, keys: &mut Random) {
+    let end = Instant::now() + DRAIN_GRACE + READING_TIME;
+    while Instant::now() < end {
+        platform.read(keys);
+    }
+}
+
+/// Asserts that a node that is not in use since `told` got nothing beyond the time that the rule leaves.
+fn assert_unused(node: &Node, told: Instant, context: &str) {
+    let late = node.arrivals().iter().filter(|at| **at > told + DRAIN_GRACE).count();
+    assert_eq!(late, 0, "{context}: {} got requests after it was told to be out of use", node.id);
+}
+
+/// Guards against a new process that sends requests to a node of which an earlier one knew that it drains or is gone,
+/// since discovery is down and the platform's list is old (review/10).
+#[test]
+fn what_discovery_told_before_an_outage_binds_all_processes_of_later_upgrades() {
+    for seed in seeds(SEEDS_VARIABLE, 1..5) {
+        let (mut random, mut keys) = (Random::new(seed), Random::new(!seed));
+        let mut p = Platform::new();
+        let mut nodes: Vec<_> = (0..random.between(3, 6)).map(|n| p.add(&format!("node-{n}"))).collect();
+        p.known = p.service.known();
+        let mut running = vec![p.start()];
+        nodes.iter().for_each(|node| p.read_until_used(&mut keys, node));
+        // The first node stays, so that reads are served.
+        let unused = nodes.split_off(random.between(1, nodes.len() - 1));
+        let mut added = Vec::new();
+        for node in &unused {
+            p.list(node, random.pick(&["draining", "gone"]));
+            if random.chance(30) {
+                added.push(p.add(&format!("after-{}", node.id)));
+            }
+        }
+        p.service.wait_until_watched();
+        std::thread::sleep(random.millis(10, 200));
+        p.service.set_down(true);
+        for _ in 0..random.between(1, 3) {
+            upgrade(&p, &mut random, &mut running);
+            for _ in 0..random.between(0, 40) {
+                p.read(&mut keys);
+            }
+        }
+        let last_yes = Instant::now();
+        read_past_grace(&p, &mut keys);
+        unused.iter().for_each(|node| assert_unused(node, last_yes, &format!("seed {seed}")));
+        added.iter().for_each(|node| p.read_until_used(&mut keys, node));
+        // What discovery tells then is newer than all that was shared.
+        p.service.set_down(false);
+        p.list(&unused[0], "ready");
+        p.read_until_used(&mut keys, &unused[0]);
+    }
+}
+
+/// Guards against a process that goes on with its list while discovery has told the other one of a change: for rules
+/// the two are one proxy.
+#[test]
+fn what_discovery_tells_one_process_binds_the_other_that_gets_no_answer() {
+    for seed in seeds(SEEDS_VARIABLE, 1..4) {
+        let (mut random, mut keys) = (Random::new(seed), Random::new(!seed));
+        let mut p = Platform::new();
+        let nodes: Vec<_> = (0..random.between(2, 5)).map(|n| p.add(&format!("node-{n}"))).collect();
+        p.known = p.service.known();
+        let old = p.start();
+        p.service.wait_until_watched();
+        p.service.refuse_calls(true);
+        let new = p.start();
+        nodes.iter().for_each(|node| p.read_until_used(&mut keys, node));
+        let (unused, _) = nodes.split_last().expect("nodes");
+        p.list(unused, random.pick(&["draining", "gone"]));
+        p.service.wait_until_watched();
+        let told = Instant::now();
+        // The old process goes on, or ends once the new one can know.
+        std::thread::sleep(random.millis(150, 400));
+        let old = random.chance(50).then_some(old);
+        read_past_grace(&p, &mut keys);
+        assert_unused(unused, told, &format!("seed {seed}"));
+        p.service.refuse_calls(false);
+        p.list(unused, "ready");
+        p.read_until_used(&mut keys, unused);
+        drop((old, new));
+    }
+}
