Fix: an id that is open at one process of an upgrade is refused at the others

Callers saw: a read is open at the old process, and another client's request with its id is served by the new one, where 409 is owed.

Cause: the ids in progress were in memory; shared were those of classes that must not run twice, once sent.

Change: where the socket is handed over, ids in progress are a set of proxy::shared_ids, removed with the request. They count while the lock of their process is held, so that a kill frees them.

Why it works: an id is written to the own file before the others are looked into, so that of two at least one sees the other.

--- a/crates/proxy/src/front/startup.rs
+++ b/crates/proxy/src/front/startup.rs
@@ -120,7 +120,7 @@
         other_processes: Cell::new(0),
         clients: Rc::default(),
         pending_connection: RefCell::default(),
-        request_ids: RequestIds::new(id_files),
+        request_ids: RequestIds::new(id_files, handed_over),
         metrics,
     });
     Ok(Parts { server, watcher, watch_requests, listed_nodes, current_list })
--- a/crates/proxy/src/request_ids/mod.rs
+++ b/crates/proxy/src/request_ids/mod.rs
@@ -1,7 +1,7 @@
 //! The ids of requests: those in progress, and those of requests that must not run twice.
 //!
-//! Every request has an id of its own. One whose id is in progress comes from another client and must not interfere
-//! with the first. Where the class of a request must not run twice, one whose id was sent to a node before must not
+//! Every request has an id of its own. One whose id is in progress, at this process or at another one of this proxy,
+//! comes from another client and must not interfere with the first. Where the class of a request must not run twice, one whose id was sent to a node before must not
 //! run again, even if its client has left or another process of this proxy has sent it.
 
 use crate::shared_ids::{Change, IdFiles, IdSet, SharedIds};
@@ -36,13 +36,19 @@
 pub struct RequestIds {
     /// The ids in progress. The hash must be keyed, since clients choose the ids.
     open: RefCell<HashSet<HeaderValue>>,
+    /// The ids in progress at all processes of the proxy, if several can run side by side.
+    shared_open: Option<SharedIds>,
     history: SharedIds,
 }
 
 impl RequestIds {
-    /// Creates the ids of a process; `files` are shared with the other processes of the proxy.
-    pub fn new(files: Option<Rc<IdFiles>>) -> Rc<Self> {
-        Rc::new(RequestIds { open: RefCell::default(), history: SharedIds::open(IdSet::Sent, files) })
+    /// Creates the ids of a process; `files` are shared with the other processes of the proxy, `side_by_side` if
+    /// these can serve clients at the same time.
+    pub fn new(files: Option<Rc<IdFiles>>, side_by_side: bool) -> Rc<Self> {
+        let shared_open =
+            files.clone().filter(|_| side_by_side).map(|files| SharedIds::open(IdSet::Open, Some(files)));
+        let history = SharedIds::open(IdSet::Sent, files);
+        Rc::new(RequestIds { open: RefCell::default(), shared_open, history })
     }
 
     /// Reserves the id of a request; `runs_once` if it must not run twice.
@@ -53,12 +59,20 @@
         if !self.open.borrow_mut().insert(id.clone()) {
             return Err(IdError::Open);
         }
-        let mut reserved =
-            ReservedId { ids: self.clone(), id: id.clone(), entry: None, sent: Cell::new(false) };
+        let mut reserved = ReservedId {
+            ids: self.clone(),
+            id: id.clone(),
+            entry: None,
+            open_entry: None,
+            sent: Cell::new(false),
+        };
+        let hash = api::server_id(id.to_str().unwrap_or_default());
         if runs_once {
-            let hash = api::server_id(id.to_str().unwrap_or_default());
             reserved.entry = Some(self.history.insert(hash).ok_or(IdError::Sent)?);
         }
+        if let Some(shared_open) = &self.shared_open {
+            reserved.open_entry = Some(shared_open.insert(hash).ok_or(IdError::Open)?);
+        }
         Ok(Rc::new(reserved))
     }
 }
@@ -69,6 +83,8 @@
     id: HeaderValue,
     /// Its entry in the history, if the request must not run twice.
     entry: Option<Change>,
+    /// Its entry among the open ids of all processes, if these are shared.
+    open_entry: Option<Change>,
     /// Whether an attempt may have been written.
     sent: Cell<bool>,
 }
@@ -86,6 +102,9 @@
         if let Some(entry) = self.entry.filter(|_| !self.sent.get()) {
             self.ids.history.remove(entry);
         }
+        if let (Some(shared_open), Some(entry)) = (&self.ids.shared_open, self.open_entry) {
+            shared_open.remove(entry);
+        }
     }
 }
 
--- a/crates/proxy/tests/platform/mod.rs
+++ b/crates/proxy/tests/platform/mod.rs
@@ -14,8 +14,8 @@
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// The longest deadline of a class.
-pub const DEADLINE: Duration = Duration::from_millis(1500);
+/// The deadline of all classes, unless a test sets another one.
+const DEADLINE: Duration = Duration::from_millis(1500);
 /// How often a call at the service looks whether that is down.
 const DOWN_CHECK: Duration = Duration::from_millis(10);
 
@@ -131,22 +131,45 @@
 pub struct Node {
     pub id: String,
     pub addr: SocketAddr,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
+    served: Arc<Served>,
+}
+
+/// What a node has got, and how it answers.
+#[derive(Default)]
+struct Served {
+    arrivals: Mutex<Vec<Instant>>,
+    /// Whether requests wait for their answers.
+    holds: Mutex<bool>,
+    released: Condvar,
+}
+
+impl Served {
+    fn wait_until_released(&self) {
+        let holds = self.holds.lock().unwrap_or_else(PoisonError::into_inner);
+        let released = self.released.wait_timeout_while(holds, STEP_TIMEOUT, |holds| *holds);
+        drop(released.unwrap_or_else(PoisonError::into_inner));
+    }
 }
 
 impl Node {
     pub fn start(id: &str) -> Self {
-        let arrivals = Arc::<Mutex<Vec<Instant>>>::default();
-        Node { id: id.to_owned(), addr: serve_reads(id, &arrivals), arrivals }
+        let served = Arc::<Served>::default();
+        Node { id: id.to_owned(), addr: serve_reads(id, &served), served }
     }
 
     /// Lets it come back at another address.
     pub fn restart(&mut self) {
-        self.addr = serve_reads(&self.id, &self.arrivals);
+        self.addr = serve_reads(&self.id, &self.served);
     }
 
     pub fn arrivals(&self) -> Vec<Instant> {
-        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        self.served.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Sets whether it holds its answers back, from now on and those that it has not begun.
+    pub fn hold(&self, holds: bool) {
+        *self.served.holds.lock().unwrap_or_else(PoisonError::into_inner) = holds;
+        self.served.released.notify_all();
     }
 
     pub fn count(&self) -> usize {
@@ -154,13 +177,14 @@
     }
 }
 
-fn serve_reads(id: &str, arrivals: &Arc<Mutex<Vec<Instant>>>) -> SocketAddr {
-    let (id, arrivals) = (id.to_owned(), arrivals.clone());
+fn serve_reads(id: &str, served: &Arc<Served>) -> SocketAddr {
+    let (id, served) = (id.to_owned(), served.clone());
     serve(Server::new(), move |peer| {
         while let Some(head) = read_head(peer) {
             if header(&head, "x-correlation-id").is_some() {
-                arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
+                served.arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
             }
+            served.wait_until_released();
             let length = id.len();
             let answer = format!("HTTP/1.1 200 OK\r\nX-Lookup: hit\r\nContent-Length: {length}\r\n\r\n{id}");
             if std::io::Write::write_all(peer.0.get_mut(), answer.as_bytes()).is_err() {
@@ -197,6 +221,7 @@
     discovery: SocketAddr,
     /// The list that a process is given at its start; it may be old.
     pub known: Value,
+    pub deadline: Duration,
 }
 
 impl Drop for Platform {
@@ -214,7 +239,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
         let service = ListService::default();
         let discovery = service.start();
-        Platform { listener, folder, service, discovery, known: list(0, true, &[]) }
+        Platform { listener, folder, service, discovery, known: list(0, true, &[]), deadline: DEADLINE }
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -241,8 +266,8 @@
         config["listen"] = json!(self.addr().to_string());
         config["settings"]["rules"]["cold_ns"] = json!(0);
         for class in config["settings"]["categories"].as_array_mut().expect("classes") {
-            class["deadline_ns"] = json!(DEADLINE.as_nanos() as u64);
-            class["promise_ns"] = json!(DEADLINE.as_nanos() as u64 / 2);
+            class["deadline_ns"] = json!(self.deadline.as_nanos() as u64);
+            class["promise_ns"] = json!(self.deadline.as_nanos() as u64 / 2);
         }
         let socket = OwnedFd::from(self.listener.try_clone().expect("a copy"));
         let mut proxy = Proxy::with(&config, |command| {
--- a/crates/proxy/tests/upgrades.rs
+++ b/crates/proxy/tests/upgrades.rs
@@ -189,3 +189,49 @@
         drop((old, new));
     }
 }
+
+/// Guards against a request that is served although its id is that of another client's open request, since that one is
+/// open at another process of an upgrade.
+#[test]
+fn an_id_that_is_open_at_one_process_is_refused_at_the_others() {
+    for seed in seeds(SEEDS_VARIABLE, 1..5) {
+        let mut random = Random::new(seed);
+        let mut p = Platform::new();
+        p.deadline = STEP_TIMEOUT;
+        let node = p.add("holding");
+        node.hold(true);
+        let mut running = vec![p.start()];
+        let count = random.between(1, 3);
+        let classes = ["read", "read", "set"];
+        let mut open = Vec::new();
+        for generation in 0..count {
+            let id = format!("open-{seed}-{generation}");
+            let class = random.pick(&classes);
+            let mut client = Peer::to(p.addr());
+            // The newest process alone takes connections, as earlier ones were told to stop.
+            let before = node.count();
+            client.write(&get_as(&id, class, ""));
+            until("the node has it", || node.count() > before);
+            open.push((id, client));
+            let new = p.start();
+            let old = running.last().expect("a process");
+            old.proxy.signal("-TERM");
+            running.push(new);
+            for (id, _) in &open {
+                let mut other = Peer::to(p.addr());
+                other.write(&get_as(id, random.pick(&classes), ""));
+                assert_eq!(other.answer().status(), 409, "seed {seed}: {id} after {generation}");
+            }
+        }
+        node.hold(false);
+        for (id, client) in &mut open {
+            assert_eq!(client.answer().status(), 200, "seed {seed}: {id}");
+        }
+        // An id is free again once its request was answered.
+        for (id, _) in &open {
+            let mut again = Peer::to(p.addr());
+            again.write(&get_as(id, "read", ""));
+            assert_eq!(again.answer().status(), 200, "seed {seed}: {id}");
+        }
+    }
+}
