Fix: up to eight processes of a proxy share what they know; a fifth was alone

Callers would have seen: with four processes that still give answers beside it, the next one of an upgrade knows no ids of theirs, so that a write may run twice, and takes all descriptors and memory.

Cause: four places among the processes of a proxy; one without a place behaves as the only one.

Change: eight places. BASE_DESCRIPTORS follows their number (4 more), as the files of the others stay open.

--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -6,8 +6,9 @@
 use std::os::unix::fs::FileExt;
 use std::path::{Path, PathBuf};
 
-/// Most processes of one proxy that can run at once.
-pub const MAX_PROCESSES: usize = 4;
+/// Most processes of one proxy that can run at once. One that was told to stop may go on for many seconds while its
+/// clients receive long answers, and further upgrades may begin meanwhile.
+pub const MAX_PROCESSES: usize = 8;
 /// Number of digits of a claim in its file.
 const CLAIM_DIGITS: usize = 10;
 /// How many times each slot is tried.
--- a/crates/proxy/tests/upgrades.rs
+++ b/crates/proxy/tests/upgrades.rs
@@ -201,7 +201,7 @@
         let node = p.add("holding");
         node.hold(true);
         let mut running = vec![p.start()];
-        let count = random.between(1, 3);
+        let count = random.between(1, 6);
         let classes = ["read", "read", "set"];
         let mut open = Vec::new();
         for generation in 0..count {
