Fix: a node that was just put back is spared by the processes of later upgrades too

Callers would have seen: a node restarts while it is taken out, is put back, the proxy is upgraded, and as long as the list does not tell of the restart the cold node gets the part of a warm one.

Cause: when a ban ended was in the decision module's memory alone; the file of orders had the bans in force.

Change: the file has when bans ended, the last 128.

--- a/crates/core/src/engine/endpoints.rs
+++ b/crates/core/src/engine/endpoints.rs
@@ -90,4 +90,10 @@
         let event = if banned { Event::Excluded(server) } else { Event::Included(server) };
         self.handle_event(&mut self.state.borrow_mut(), event);
     }
+    /// Treats a server as one whose ban has just been lifted: it is in slow start.
+    pub fn restart_slow_start(&self, name: &str) {
+        let server = server_id(name);
+        let events = VecDeque::from([Event::Excluded(server), Event::Included(server)]);
+        self.handle_events(&mut self.state.borrow_mut(), events);
+    }
 }
--- a/crates/proxy/src/control.rs
+++ b/crates/proxy/src/control.rs
@@ -7,9 +7,11 @@
 use super::listed_nodes::ListedNodes;
 use super::metrics::Metrics;
 use super::operator_orders::{OperatorOrders, OrderStore};
+use super::wall_clock::unix_millis;
 use super::Engine;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// What the answer to a call for the version is made of.
 pub struct StatusSources {
@@ -30,6 +32,8 @@
     sources: StatusSources,
     /// The orders in force.
     applied: RefCell<OperatorOrders>,
+    /// How long a node is in slow start.
+    slow_start_time: Duration,
     /// Whether clients are accepted.
     pub serving: Cell<bool>,
 }
@@ -42,9 +46,11 @@
         drain: Rc<Drain>,
         store: OrderStore,
         sources: StatusSources,
+        slow_start_time: Duration,
     ) -> Rc<Self> {
         let (applied, serving) = (RefCell::default(), Cell::new(false));
-        let handler = AdminHandler { engine, listed_nodes, drain, store, sources, applied, serving };
+        let handler =
+            AdminHandler { engine, listed_nodes, drain, store, sources, applied, slow_start_time, serving };
         handler.apply_stored_orders();
         Rc::new(handler)
     }
@@ -102,9 +108,9 @@
         }
         let change = |orders: &mut OperatorOrders| {
             if banned {
-                orders.bans.insert(id);
+                orders.ban(id);
             } else {
-                orders.bans.remove(&id);
+                orders.lift_ban(&id, unix_millis());
             }
         };
         self.order(change).await
@@ -128,6 +134,8 @@
         let previous = self.applied.replace(orders.clone());
         orders.bans.difference(&previous.bans).for_each(|id| self.engine.set_banned(id, true));
         previous.bans.difference(&orders.bans).for_each(|id| self.engine.set_banned(id, false));
+        let newly_lifted = orders.newly_lifted(&previous, unix_millis(), self.slow_start_time);
+        newly_lifted.for_each(|id| self.engine.restart_slow_start(id));
         self.drain.set_ordered(orders.drain);
     }
 }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -178,8 +178,15 @@
     let store = OrderStore::open(state_dir);
     let AdminOptions { version_info, list_status } = admin_options;
     let sources = StatusSources { version_info, list_status, metrics: server.metrics.clone() };
-    let control =
-        AdminHandler::new(server.engine.clone(), listed_nodes, server.drain.clone(), store, sources);
+    let slow_start_time = Duration::from_nanos(server.settings.slow_start_time);
+    let control = AdminHandler::new(
+        server.engine.clone(),
+        listed_nodes,
+        server.drain.clone(),
+        store,
+        sources,
+        slow_start_time,
+    );
     if let Some(mgmt) = mgmt {
         open_admin_endpoint(mgmt, &control).await?;
     }
--- a/crates/proxy/src/operator_orders.rs
+++ b/crates/proxy/src/operator_orders.rs
@@ -6,7 +6,7 @@
 use aniseyoke_control::checksummed_file::{Disk, Files};
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, ErrorKind, Read};
 use std::path::{Path, PathBuf};
@@ -21,6 +21,8 @@
 const LOCK_RETRY_DELAY: Duration = Duration::from_millis(5);
 /// Most cache nodes that can be banned at once.
 pub const MAX_BANS: usize = 1024;
+/// Most ends of bans that are remembered; the oldest are forgotten first.
+const MAX_LIFTED: usize = 128;
 /// Maximum length of the file.
 const MAX_FILE_BYTES: u64 = 1 << 20;
 
@@ -33,6 +35,46 @@
     /// Ids of the banned cache nodes.
     #[serde(default)]
     pub bans: BTreeSet<String>,
+    /// When the bans of other cache nodes ended, as Unix times in milliseconds. A node may have restarted during its
+    /// ban, and then it is cold.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub lifted: BTreeMap<String, u64>,
+}
+
+impl OperatorOrders {
+    /// Bans a node.
+    pub fn ban(&mut self, id: String) {
+        self.lifted.remove(&id);
+        self.bans.insert(id);
+    }
+
+    /// Ends the ban of a node, if it has one; `now` is the Unix time in milliseconds.
+    pub fn lift_ban(&mut self, id: &str, now: u64) {
+        if !self.bans.remove(id) {
+            return;
+        }
+        self.lifted.insert(id.to_owned(), now);
+        while self.lifted.len() > MAX_LIFTED {
+            let oldest = self.lifted.iter().min_by_key(|(_, at)| **at).map(|(id, _)| id.clone());
+            let Some(oldest) = oldest else { break };
+            self.lifted.remove(&oldest);
+        }
+    }
+
+    /// Returns the nodes whose bans ended without `previous` having them, less than `window` before `now`. A time in
+    /// the future counts as one that has just been.
+    pub fn newly_lifted<'a>(
+        &'a self,
+        previous: &'a OperatorOrders,
+        now: u64,
+        window: Duration,
+    ) -> impl Iterator<Item = &'a String> {
+        let is_recent = move |at: u64| Duration::from_millis(now.saturating_sub(at)) < window;
+        let lifted = self.lifted.iter().filter(move |(id, at)| {
+            is_recent(**at) && previous.lifted.get(*id) != Some(at) && !previous.bans.contains(*id)
+        });
+        lifted.map(|(id, _)| id)
+    }
 }
 
 /// Errors reading, locking or writing the orders.
--- a/crates/proxy/src/operator_orders/tests.rs
+++ b/crates/proxy/src/operator_orders/tests.rs
@@ -25,7 +25,8 @@
     let next = store(&dir);
     assert!(next.refresh());
     for store in [one, other, next] {
-        assert_eq!(store.orders(), OperatorOrders { drain: true, bans: ["a".to_owned()].into() });
+        let expected = OperatorOrders { drain: true, bans: ["a".to_owned()].into(), ..Default::default() };
+        assert_eq!(store.orders(), expected);
     }
 }
 
@@ -62,3 +63,41 @@
     without_dir.update(|orders| orders.drain = true).await.expect("taken");
     assert!(without_dir.orders().drain && !without_dir.refresh());
 }
+
+/// Guards against a process that does not know of a ban that ended before its start, or between two looks.
+#[test]
+fn a_ban_that_ended_recently_is_told_to_a_process_that_did_not_see_it() {
+    let window = Duration::from_secs(9);
+    let mut orders = OperatorOrders::default();
+    orders.lift_ban("never-banned", 1_000);
+    let before = orders.clone();
+    orders.ban("a".into());
+    let during = orders.clone();
+    orders.lift_ban("a", 20_000);
+    let newly_lifted = |previous: &OperatorOrders, now: u64| -> Vec<String> {
+        orders.newly_lifted(previous, now, window).cloned().collect()
+    };
+    // A clock that was set back makes the end of a ban no older.
+    for now in [0, 20_000, 28_999] {
+        assert_eq!(newly_lifted(&before, now), ["a"], "{now}");
+    }
+    assert!(newly_lifted(&before, 29_000).is_empty());
+    // A process that had the ban notices its end.
+    assert!(newly_lifted(&during, 20_000).is_empty() && newly_lifted(&orders, 20_000).is_empty());
+    let text = serde_json::to_string(&orders).expect("JSON");
+    assert_eq!(serde_json::from_str::<OperatorOrders>(&text).expect("orders"), orders);
+    let of_before: OperatorOrders = serde_json::from_str(r#"{"drain":false,"bans":["b"]}"#).expect("orders");
+    assert!(of_before.lifted.is_empty() && of_before.bans.contains("b"));
+}
+
+/// Guards against a file that grows with every ban that ends.
+#[test]
+fn the_oldest_ends_of_bans_are_forgotten() {
+    let mut orders = OperatorOrders::default();
+    for number in 0..2 * MAX_LIFTED as u64 {
+        orders.ban(format!("node-{number}"));
+        orders.lift_ban(&format!("node-{number}"), number);
+    }
+    assert_eq!(orders.lifted.len(), MAX_LIFTED);
+    assert_eq!(orders.lifted.values().min(), Some(&(MAX_LIFTED as u64)));
+}
--- a/crates/proxy/tests/platform/mod.rs
+++ b/crates/proxy/tests/platform/mod.rs
@@ -222,6 +222,8 @@
     /// The list that a process is given at its start; it may be old.
     pub known: Value,
     pub deadline: Duration,
+    /// How long a node is cold after its start; zero if no node is.
+    pub cold: Duration,
 }
 
 impl Drop for Platform {
@@ -239,7 +241,15 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("bound");
         let service = ListService::default();
         let discovery = service.start();
-        Platform { listener, folder, service, discovery, known: list(0, true, &[]), deadline: DEADLINE }
+        Platform {
+            listener,
+            folder,
+            service,
+            discovery,
+            known: list(0, true, &[]),
+            deadline: DEADLINE,
+            cold: Duration::ZERO,
+        }
     }
 
     pub fn addr(&self) -> SocketAddr {
@@ -264,7 +274,7 @@
         config["known"] = self.known.clone();
         config["mgmt"] = json!("127.0.0.1:0");
         config["listen"] = json!(self.addr().to_string());
-        config["settings"]["rules"]["cold_ns"] = json!(0);
+        config["settings"]["rules"]["cold_ns"] = json!(self.cold.as_nanos() as u64);
         for class in config["settings"]["categories"].as_array_mut().expect("classes") {
             class["deadline_ns"] = json!(self.deadline.as_nanos() as u64);
             class["promise_ns"] = json!(self.deadline.as_nanos() as u64 / 2);
--- a/crates/proxy/tests/upgrades.rs
+++ b/crates/proxy/tests/upgrades.rs
@@ -235,3 +235,52 @@
         }
     }
 }
+
+/// How many reads are counted at a node that was put back.
+const COUNTED_READS: usize = 300;
+/// Much longer than the counted reads take.
+const COLD: Duration = Duration::from_secs(60);
+/// By the rig's settings a cold node has a tenth of its capacity, and falls over under three times of that.
+const MAX_COLD_PART: f64 = 0.3;
+
+/// Returns how much a node that was just put back gets, relative to the mean of the others.
+fn part_of_a_node_put_back(random: &mut Random, upgrades: usize) -> f64 {
+    let mut keys = Random::new(random.next());
+    let mut p = Platform::new();
+    p.cold = COLD;
+    let nodes: Vec<_> = (0..4).map(|n| p.add(&format!("node-{n}"))).collect();
+    p.known = p.service.known();
+    let mut running = vec![p.start()];
+    nodes.iter().for_each(|node| p.read_until_used(&mut keys, node));
+    let (put_back, others) = nodes.split_first().expect("nodes");
+    assert_eq!(call_for_node(running[0].admin, "/api/exclude", &put_back.id), 200);
+    for _ in 0..random.between(50, 200) {
+        p.read(&mut keys);
+    }
+    assert_eq!(call_for_node(running[0].admin, "/api/include", &put_back.id), 200);
+    for _ in 0..upgrades {
+        upgrade(&p, random, &mut running);
+    }
+    let counts = || nodes.iter().map(Node::count).collect::<Vec<_>>();
+    let before = counts();
+    for _ in 0..COUNTED_READS {
+        p.read(&mut keys);
+    }
+    let got: Vec<_> = counts().iter().zip(before).map(|(count, before)| (count - before) as f64).collect();
+    got[0] * others.len() as f64 / got[1..].iter().sum::<f64>()
+}
+
+/// Guards against a new process that takes a node for warm, of which the old one knew that its ban had just ended: it
+/// may have restarted during the ban, and the list may not tell of that yet.
+#[test]
+fn a_node_that_was_just_put_back_is_spared_by_the_processes_of_later_upgrades() {
+    for seed in seeds(SEEDS_VARIABLE, 1..5) {
+        let mut random = Random::new(seed);
+        let upgrades = random.between(1, 4);
+        let part = part_of_a_node_put_back(&mut random, upgrades);
+        assert!(
+            part < MAX_COLD_PART,
+            "seed {seed}: {part} of the part of a warm node after {upgrades} upgrades"
+        );
+    }
+}
