Fix: eight processes of a proxy cost no connections; the files of three others stay open

Callers would have seen: four client connections fewer for each process since.

Cause: kept the files of ids of all seven others open and took 4 descriptors more out of the budget.

Change: three files stay open, as before; those of further processes are opened for each look. The test is unchanged.

--- a/crates/proxy/src/front/resources.rs
+++ b/crates/proxy/src/front/resources.rs
@@ -5,8 +5,8 @@
 use crate::{admin, discovery, MAX_BUFFERED_BODY_BYTES, MAX_READ_BUFFER_BYTES};
 
 /// Descriptors outside of the budget: standard streams, the listener, the runtime, the files of the
-/// operators' state, the files of ids of all processes, and discovery.
-const BASE_DESCRIPTORS: usize = 16 + peers::MAX_PROCESSES + discovery::DESCRIPTORS;
+/// operators' state and of ids, and discovery.
+const BASE_DESCRIPTORS: usize = 20 + discovery::DESCRIPTORS;
 /// Memory that is not available to connections, in bytes.
 const BASE_MEMORY: usize = 8 << 20;
 /// Memory of a connection, in bytes: a full read buffer, a full write buffer, and the headers and the state of a
--- a/crates/proxy/src/shared_ids/mod.rs
+++ b/crates/proxy/src/shared_ids/mod.rs
@@ -17,6 +17,9 @@
 use std::rc::Rc;
 use table::{entries, IdHash, IdTable, BUCKET_BYTES, BUCKET_ENTRIES, TABLE_BYTES};
 
+/// Most files of other processes that stay open; further ones are opened for each look.
+const MAX_OPEN_FILES: usize = 3;
+
 /// What the ids of a set have in common. Each set has a table in the file of a process, in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum IdSet {
@@ -111,8 +114,8 @@
     own: File,
     /// Whether the last write failed.
     write_failed: Cell<bool>,
-    /// The files of the others, opened once they exist.
-    others: [RefCell<Option<File>>; MAX_PROCESSES],
+    /// The files of others that stay open, with their numbers, in the order in which they were found.
+    others: RefCell<Vec<(usize, File)>>,
 }
 
 impl IdFiles {
@@ -127,7 +130,7 @@
                 own_number: slot.number,
                 own,
                 write_failed: Cell::default(),
-                others: Default::default(),
+                others: RefCell::default(),
             })),
             Err(error) => {
                 tracing::warn!("{}: ids are not shared with other processes: {error}", path.display());
@@ -168,15 +171,23 @@
 
     fn others_have(&self, set: IdSet, id: IdHash) -> bool {
         let others = (0..MAX_PROCESSES).filter(|number| *number != self.own_number);
-        let mut found = others.filter(|number| {
-            let mut file = self.others[*number].borrow_mut();
-            if file.is_none() {
-                *file = File::open(file_path(&self.dir, *number)).ok();
-            }
-            file.as_ref().is_some_and(|file| id.is_in(&read_bucket(file, set, id)))
-        });
+        let mut found = others.filter(|number| self.has(*number, set, id));
         found.any(|number| set.outlives_process() || peers::is_running(&self.dir, number))
     }
+
+    /// Whether the file with this number has an id.
+    fn has(&self, number: usize, set: IdSet, id: IdHash) -> bool {
+        let mut others = self.others.borrow_mut();
+        if let Some((_, file)) = others.iter().find(|(other, _)| *other == number) {
+            return id.is_in(&read_bucket(file, set, id));
+        }
+        let Ok(file) = File::open(file_path(&self.dir, number)) else { return false };
+        let has_id = id.is_in(&read_bucket(&file, set, id));
+        if others.len() < MAX_OPEN_FILES {
+            others.push((number, file));
+        }
+        has_id
+    }
 }
 
 /// Reads the bucket of an id; what the file lacks is empty.
