Fix: a check for unread bytes that fails for lack of memory ends no connection

Cause: since the kernel is asked for unread bytes right before the first byte of a request is written (socket/io.rs, check_first_write). Socket::has_no_input is false also when the look itself fails, so that a failed look was taken for bytes: the connection ended, on a new one as a failure to connect, and after a few of them the nodes were ejected.

The pool keeps a connection of which the kernel can't tell; it is looked at again before its next request.

--- a/crates/proxy/src/socket/io.rs
+++ b/crates/proxy/src/socket/io.rs
@@ -1,6 +1,6 @@
 //! The socket as hyper reads and writes it.
 
-use super::Socket;
+use super::{Socket, UnreadInput};
 use crate::time_left;
 use aniseyoke_sockets::{is_transient_shortage, uninterrupted};
 use socket2::SockRef;
@@ -28,6 +28,14 @@
     Poll::Pending
 }
 
+/// What the check before the first byte of a message allows.
+enum FirstWrite {
+    /// The bytes may be written; their head is replaced by this one, if there is one.
+    Allowed(Option<Vec<u8>>),
+    /// The kernel lacked memory for the check, which has to be repeated.
+    Unchecked,
+}
+
 /// A [`Socket`] as hyper reads and writes it.
 pub struct Io(pub Rc<Socket>);
 
@@ -61,26 +69,30 @@
         (n > 0).then_some(n)
     }
 
-    /// Runs the check before the first byte of a message; returns its head with the time left updated, if it
-    /// has that header.
-    fn check_first_write(&self, head: &[u8]) -> io::Result<Option<Vec<u8>>> {
+    /// Runs the check before the first byte of a message, whose head gets the time left updated if it has that
+    /// header.
+    fn check_first_write(&self, head: &[u8]) -> io::Result<FirstWrite> {
         if self.0.write_began.get() {
-            return Ok(None);
+            return Ok(FirstWrite::Allowed(None));
         }
         let check = self.0.first_write_check.borrow();
-        let Some(check) = &*check else { return Ok(None) };
+        let Some(check) = &*check else { return Ok(FirstWrite::Allowed(None)) };
         let Some(time_left) = check.time_left() else {
             self.0.withheld.set(true);
             return Err(io::Error::other("the request was withheld by the check before its first byte"));
         };
         // Bytes that came before the request are no answer to it. The runtime learns of them only at its next poll.
-        if !self.0.has_no_input() {
-            return Err(io::Error::other(
-                "bytes that belong to no request, or the end, came before the request",
-            ));
+        match self.0.unread_input() {
+            UnreadInput::Nothing => {}
+            UnreadInput::Unknown => return Ok(FirstWrite::Unchecked),
+            UnreadInput::BytesOrEnd => {
+                return Err(io::Error::other(
+                    "bytes that belong to no request, or the end, came before the request",
+                ));
+            }
         }
         check.write_begins();
-        Ok(time_left::replace_in_head(head, time_left))
+        Ok(FirstWrite::Allowed(time_left::replace_in_head(head, time_left)))
     }
 
     /// Writes bytes that begin with `head`; `send` gets the replacement of `head`, if any.
@@ -96,7 +108,9 @@
                 self.0.write_blocked.set(true);
                 return Poll::Pending;
             }
-            let replaced = self.check_first_write(head)?;
+            let FirstWrite::Allowed(replaced) = self.check_first_write(head)? else {
+                return wake_later(cx);
+            };
             match uninterrupted(|| send(&self.0.stream, replaced.as_deref())) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) if is_transient_shortage(&e) => {
--- a/crates/proxy/src/socket/mod.rs
+++ b/crates/proxy/src/socket/mod.rs
@@ -13,7 +13,7 @@
 
 use crate::descriptors::DescriptorPermit;
 use crate::KERNEL_BUFFER_BYTES;
-use aniseyoke_sockets::uninterrupted;
+use aniseyoke_sockets::{is_transient_shortage, uninterrupted};
 use presence::PeerState;
 use rustix::net::{recv, RecvFlags};
 use socket2::SockRef;
@@ -27,6 +27,17 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+/// What the kernel's receive buffer holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum UnreadInput {
+    /// Nothing, and the peer has not ended its sending.
+    Nothing,
+    /// Unread bytes, or the end of the connection.
+    BytesOrEnd,
+    /// The kernel lacked memory and reported nothing.
+    Unknown,
+}
+
 /// A check right before the first byte of a message is written.
 pub trait FirstWriteCheck {
     /// Returns how much time the message has left; `None` if it must no longer be written.
@@ -146,10 +157,19 @@
         let _ = stream.set_recv_buffer_size(KERNEL_BUFFER_BYTES);
     }
 
-    /// Whether the kernel's receive buffer is empty and the peer has not ended its sending. Asks the kernel,
-    /// since the runtime learns of new bytes only at its next poll.
+    /// Returns what the kernel's receive buffer holds. Asks the kernel, since the runtime learns of new bytes
+    /// only at its next poll.
+    pub fn unread_input(&self) -> UnreadInput {
+        match self.peek_byte() {
+            Err(e) if e.kind() == ErrorKind::WouldBlock => UnreadInput::Nothing,
+            Err(e) if is_transient_shortage(&e) => UnreadInput::Unknown,
+            Ok(_) | Err(_) => UnreadInput::BytesOrEnd,
+        }
+    }
+
+    /// Whether the kernel's receive buffer is known to be empty and the peer not to have ended its sending.
     pub fn has_no_input(&self) -> bool {
-        self.peek_byte().is_err_and(|e| e.kind() == ErrorKind::WouldBlock)
+        self.unread_input() == UnreadInput::Nothing
     }
 
     /// Returns the number of received bytes that are unread; 0 if the kernel does not tell.
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -2,7 +2,7 @@
 
 use super::Upstreams;
 use crate::descriptors::DescriptorPermit;
-use crate::socket::{Io, Socket};
+use crate::socket::{Io, Socket, UnreadInput};
 use crate::upload::AttemptBody;
 use crate::MAX_READ_BUFFER_BYTES;
 use aniseyoke_decision::api::ServerId;
@@ -35,12 +35,12 @@
         Ok(Connection { sender, socket, driver })
     }
 
-    /// Whether the connection is open and no bytes follow the last answer. Answers carry no id, so surplus
-    /// bytes would be taken for the answer to the next request. Hyper closes a connection if it finds surplus
-    /// bytes in its own buffer, before it returns the answer that precedes them; this checks the kernel's
-    /// buffer.
+    /// Whether the connection is open and no bytes are known to follow the last answer. Answers carry no id, so
+    /// surplus bytes would be taken for the answer to the next request. Hyper closes a connection if it finds
+    /// surplus bytes in its own buffer, before it returns the answer that precedes them; this checks the
+    /// kernel's buffer. If the kernel can't tell now, the check before the next request's first byte does.
     pub(super) fn is_clean(&self) -> bool {
-        !self.sender.is_closed() && self.socket.has_no_input()
+        !self.sender.is_closed() && self.socket.unread_input() != UnreadInput::BytesOrEnd
     }
 }
 
--- a/crates/proxy/tests/failing_calls.rs
+++ b/crates/proxy/tests/failing_calls.rs
@@ -276,14 +276,24 @@
     });
 }
 
+/// Returns rules that fail one in `one_in` receiving and sending calls for each way to lack kernel memory.
+fn lacking_memory(one_in: u64) -> Vec<Rule> {
+    let rules = [("recv", &Call::RECEIVING), ("send", &Call::SENDING)].map(|(name, calls)| {
+        [errno::ENOBUFS, errno::ENOMEM].map(|n| failing(&format!("{name}-{n}"), calls, n, one_in))
+    });
+    rules.concat()
+}
+
 #[test]
 fn a_short_lack_of_kernel_memory_ends_no_connection() {
-    assert_all_served(AfterAnswer::Keep, |_| {
-        let rules = [("recv", &Call::RECEIVING), ("send", &Call::SENDING)].map(|(name, calls)| {
-            [errno::ENOBUFS, errno::ENOMEM].map(|n| failing(&format!("{name}-{n}"), calls, n, 40))
-        });
-        Plan::new(10, &rules.concat())
-    });
+    assert_all_served(AfterAnswer::Keep, |_| Plan::new(10, &lacking_memory(40)));
+}
+
+/// Guards against a check for unread bytes that fails for lack of memory and is taken for unread bytes, so that
+/// the connection ends before its request is written and its node is blamed.
+#[test]
+fn a_failed_check_for_unread_bytes_ends_no_connection() {
+    assert_all_served(AfterAnswer::Close, |_| Plan::new(15, &lacking_memory(8)));
 }
 
 #[test]
