Fix: an answer whose head comes in pieces is waited for, and its node not blamed

Cause: an attempt knew of its answer only with the whole head (upstream/attempt.rs, try_connection), and ended at a limit set in advance for nodes that say nothing (lifecycle.rs, attempt_timeout). The same missing event blamed the node when a hedged request went out (hedging.rs), and counted late ends as overload (admission.rs, origin_protection.rs).

Change: the first byte of an answer is a typed event, ResponseStarted; the decision module answers with AwaitResponse, and the attempt may go on until the client gives up (logic/response_wait.rs). Hedged requests go out at their times as before. If one wins, the first attempt runs on and its end judges the node, so that one that hangs midway is still ejected. Where no second attempt may run beside the first, an answer may pause for half of the time if another attempt is possible.

--- a/crates/benchlink/src/wire/write.rs
+++ b/crates/benchlink/src/wire/write.rs
@@ -11,6 +11,8 @@
         Action::Send { id, server, timeout } => {
             writeln!(reply, "deliver {instance} {id} {} {timeout}", name(server))
         }
+        // Only `ResponseStarted` leads to it, and the simulator's answers arrive whole.
+        Action::AwaitResponse { .. } => Ok(()),
         Action::Cancel { id, attempt } => writeln!(reply, "abandon {instance} {id} {attempt}"),
         Action::Reject { id, retry_after } => writeln!(reply, "bounce {instance} {id} {retry_after}"),
         Action::Fail { id } => writeln!(reply, "abort {instance} {id}"),
--- a/crates/core/src/engine.rs
+++ b/crates/core/src/engine.rs
@@ -144,6 +144,9 @@
     fn execute_action(&self, state: &mut EngineState<T>, action: Action, events: &mut VecDeque<Event>) {
         match action {
             Action::Send { id, server, timeout } => self.send_attempt(state, id, server, timeout, events),
+            Action::AwaitResponse { id, attempt, max_pause } => {
+                self.await_response(state, id, attempt as usize, max_pause);
+            }
             Action::Cancel { id, attempt } => self.cancel_attempt(state, id, attempt as usize, events),
             Action::Reject { id, retry_after } => {
                 let retry_after = Duration::from_nanos(retry_after);
--- a/crates/core/src/engine/attempts.rs
+++ b/crates/core/src/engine/attempts.rs
@@ -5,7 +5,7 @@
 use crate::counters::RequestOutcome;
 use crate::limits::{Admission, AdmissionRequest, CompletedAttempt, QueueAction};
 use crate::pending_response::Answer;
-use crate::transport::{AttemptHandle, AttemptOutcome, Transport};
+use crate::transport::{AttemptHandle, AttemptOutcome, ResponseWait, Transport};
 use aniseyoke_decision::api::{Event, Nanos, Outcome, RequestId, ServerId, Status};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -64,6 +64,12 @@
         if let Some(window_left) = idempotency_time_left {
             handle.forbid_writing_after(instant, Duration::from_nanos(window_left));
         }
+        let weak_self = self.weak_self.clone();
+        handle.on_response_started(move || {
+            if let Some(engine) = weak_self.upgrade() {
+                engine.response_started(id, number);
+            }
+        });
         let transport = self.transport.clone();
         let exchange = transport.attempt(attempt.server, job, instant, time_limit, handle.clone());
         let weak_self = self.weak_self.clone();
@@ -76,6 +82,36 @@
         attempt.phase = AttemptPhase::InFlight { started_at: now, handle, task: task.abort_handle() };
     }
 
+    /// Handles the first byte of the answer to an attempt.
+    fn response_started(&self, id: RequestId, number: usize) {
+        let state = &mut *self.state.borrow_mut();
+        let in_flight = state.attempt(id, number).is_some_and(Attempt::is_in_flight);
+        if in_flight {
+            self.handle_event(state, Event::ResponseStarted { id, attempt: number as u32 });
+        }
+    }
+
+    /// Lets an attempt whose answer has begun to arrive go on until the client gives up.
+    pub(super) fn await_response(
+        &self,
+        state: &EngineState<T>,
+        id: RequestId,
+        number: usize,
+        max_pause: Nanos,
+    ) {
+        let (now, instant) = self.clock.read();
+        let Some(request) = state.requests.get(&id) else { return };
+        let Some(AttemptPhase::InFlight { handle, .. }) = request.attempts.get(number).map(|a| &a.phase)
+        else {
+            return;
+        };
+        handle.await_response(ResponseWait {
+            since: request.deadline.is_some().then_some(instant),
+            time_limit: Duration::from_nanos(request.time_left(now)),
+            max_pause: (max_pause > 0).then(|| Duration::from_nanos(max_pause)),
+        });
+    }
+
     /// Handles the outcome of an attempt that ended without being cancelled.
     fn attempt_ended(&self, id: RequestId, number: usize, outcome: AttemptOutcome<T::Reply>) {
         let state = &mut *self.state.borrow_mut();
--- a/crates/core/src/engine/state.rs
+++ b/crates/core/src/engine/state.rs
@@ -29,6 +29,11 @@
 }
 
 impl<T: Transport> EngineState<T> {
+    /// Returns an attempt of a request that still has unfinished attempts.
+    pub fn attempt(&self, id: RequestId, number: usize) -> Option<&Attempt<T::Handle>> {
+        self.requests.get(&id)?.attempts.get(number)
+    }
+
     /// Removes a request that is answered and has no queued attempt and none in flight.
     pub fn forget_if_finished(&mut self, id: RequestId) {
         if self.requests.get(&id).is_some_and(OpenRequest::is_finished) {
--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -4,7 +4,7 @@
 use crate::counters::RequestCounts;
 use crate::limits::{ConcurrencyBounds, LimitsConfig, QueueConfig};
 use crate::pending_response::PendingResponse;
-use crate::transport::{AttemptHandle, AttemptOutcome, Job};
+use crate::transport::{AttemptHandle, AttemptOutcome, Job, ResponseWait};
 use aniseyoke_decision::api::{server_id, Class, Entry, Request, ServerId, Settings, Status};
 use std::future::Future;
 use std::time::Instant;
@@ -33,6 +33,8 @@
 struct InertHandle;
 
 impl AttemptHandle for InertHandle {
+    fn on_response_started(&self, _callback: impl FnOnce() + 'static) {}
+    fn await_response(&self, _wait: ResponseWait) {}
     fn forbid_writing(&self) {}
     fn forbid_writing_after(&self, _since: Instant, _time: Duration) {}
     fn abort(&self) {}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,4 +29,4 @@
 pub use engine::{Engine, IncomingRequest, QueueStatus, ReconfigureError};
 pub use limits::Limits;
 pub use pending_response::{Answer, PendingResponse};
-pub use transport::{AttemptHandle, AttemptOutcome, Job, Transport};
+pub use transport::{AttemptHandle, AttemptOutcome, Job, ResponseWait, Transport};
--- a/crates/core/src/transport.rs
+++ b/crates/core/src/transport.rs
@@ -26,8 +26,26 @@
     fn body_received(job: Weak<Self>) -> impl Future<Output = Instant>;
 }
 
+/// How long an attempt whose answer has begun to arrive may still take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResponseWait {
+    /// When the time limit starts; `None`: with the last byte of the request, which is still to come.
+    pub since: Option<Instant>,
+    /// The time allowed.
+    pub time_limit: Duration,
+    /// The longest time without a further byte of the answer; `None`: no limit.
+    pub max_pause: Option<Duration>,
+}
+
 /// The engine's handle on an attempt in flight.
 pub trait AttemptHandle: Default + 'static {
+    /// Calls `callback` once the first byte of the node's answer has been read. The attempt must not hold the
+    /// engine's state borrowed then.
+    fn on_response_started(&self, callback: impl FnOnce() + 'static);
+
+    /// Replaces the time limit of an attempt whose answer has begun to arrive.
+    fn await_response(&self, wait: ResponseWait);
+
     /// Forbids all further writes of the attempt, because the request has ended.
     fn forbid_writing(&self);
 
@@ -81,7 +99,8 @@
     fn close_idle(&self, server: ServerId);
 
     /// Makes one attempt. Its `time_limit` counts from `since`, or from the last byte of the request if part
-    /// of it has not been received yet.
+    /// of it has not been received yet; it ends with the first byte of the answer if the engine then sets
+    /// another one.
     fn attempt(
         self: Rc<Self>,
         server: ServerId,
--- a/crates/decision/src/api.rs
+++ b/crates/decision/src/api.rs
@@ -70,6 +70,13 @@
     pub allowed_servers: Pool,
 }
 
+impl Class {
+    /// Whether a request may be sent again after an attempt that may have run.
+    pub fn may_repeat(&self) -> bool {
+        self.idempotency != Idempotency::NonIdempotent && !self.stream
+    }
+}
+
 /// A pool of servers: those that match both its zones and its machine kinds.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Pool {
@@ -352,6 +359,13 @@
     ClientLeft(RequestId),
     /// The proxy has begun to send the client its answer.
     AnswerBegun(RequestId),
+    /// The first byte of a server's answer to an attempt has arrived. The rest may still take long.
+    ResponseStarted {
+        /// Request.
+        id: RequestId,
+        /// Attempt.
+        attempt: u32,
+    },
     /// The body of a request is complete; the request's time limits count from now.
     BodyReceived(RequestId),
     /// An operator excluded a server. It stays excluded, whatever the endpoint list says, until
@@ -387,6 +401,15 @@
         /// Timeout of the attempt.
         timeout: Nanos,
     },
+    /// Let an attempt whose answer has begun to arrive go on until the client gives up.
+    AwaitResponse {
+        /// Request.
+        id: RequestId,
+        /// Attempt.
+        attempt: u32,
+        /// Time without a further byte after which the attempt times out all the same; 0: no limit.
+        max_pause: Nanos,
+    },
     /// Stop waiting for an attempt.
     Cancel {
         /// Request.
--- a/crates/decision/src/logic.rs
+++ b/crates/decision/src/logic.rs
@@ -12,6 +12,7 @@
 //! | which server gets it | `load_balancing` |
 //! | whether the rules allow the attempt | `eligibility` |
 //! | whether another attempt follows | `hedging`, `retries`, `retry_budget` |
+//! | how long an answer that has begun is waited for | `response_wait` |
 //!
 //! `lifecycle` takes a request from its arrival to its single final answer, and passes the outcomes of its
 //! attempts back to these modules. Each exception to the ordinary path has a comment with the failure that it
@@ -29,6 +30,7 @@
 mod origin_protection;
 mod outlier_ejection;
 mod request;
+mod response_wait;
 mod retries;
 mod retry_budget;
 pub(crate) mod slow_start;
@@ -130,6 +132,7 @@
                     s.concurrency_limit = Some(limit);
                 }
             }
+            Event::ResponseStarted { id, attempt } => self.response_started(now, id, attempt, actions),
             Event::AnswerBegun(id) => {
                 if let Some(request) = self.requests.get_mut(&id) {
                     request.answer_begun = true;
--- a/crates/decision/src/logic/admission.rs
+++ b/crates/decision/src/logic/admission.rs
@@ -170,12 +170,14 @@
 
     /// Returns the number of requests of a window that are still in flight, which are past their objective.
     /// If they were not counted, servers that do not answer would go unnoticed until the clients give up.
-    /// Requests that wait for an overloaded origin do not count against the servers.
+    /// Requests that wait for an overloaded origin do not count against the servers, nor do those whose
+    /// answer began in time.
     fn overdue(&self, now: Nanos, window: &Window) -> f64 {
         let overdue = self.requests.values().filter(|r| {
             let last = r.attempts.last().and_then(|a| self.servers.get(a.server));
             let at_servers = !r.fetch_expected || self.origin.is_healthy();
             at_servers
+                && !r.response_started_in_time()
                 && window.contains(r.arrived, now)
                 && last.is_some_and(|s| self.servers.is_eligible_for_keys(s))
         });
--- a/crates/decision/src/logic/hedging.rs
+++ b/crates/decision/src/logic/hedging.rs
@@ -36,14 +36,18 @@
     /// Handles an expired hedging timer: sends another attempt if exactly one is still in flight.
     pub(super) fn hedge(&mut self, now: Nanos, id: RequestId, actions: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let mut pending = request.attempts.iter().filter(|a| a.pending).map(|a| a.server);
+        let mut pending = request.attempts.iter().filter(|a| a.pending);
         let (Some(slow), None) = (pending.next(), pending.next()) else { return };
+        let (slow, response_started) = (slow.server, slow.response_started.is_some());
         // A server can't answer before it has the whole request.
         if request.answer_begun || request.body_pending || now >= request.deadline {
             return;
         }
         // The missing answer counts against the server at once, so that a hung server is ejected after two.
-        self.record_failure(now, slow, 1.0);
+        // Whether one that has begun to answer hangs is known only when the attempt ends.
+        if !response_started {
+            self.record_failure(now, slow, 1.0);
+        }
         self.send_another(now, id, FurtherAttempt { after_timeout: true, after_origin: false }, actions);
     }
 }
--- a/crates/decision/src/logic/lifecycle.rs
+++ b/crates/decision/src/logic/lifecycle.rs
@@ -91,7 +91,15 @@
         let entry = &self.servers.at(index).entry;
         let (server, zone, cell) = (entry.server, entry.zone, entry.cell);
         let Some(request) = self.requests.get_mut(&id) else { return };
-        request.attempts.push(Attempt { server, zone, cell, sent: now, pending: true, may_have_run: false });
+        request.attempts.push(Attempt {
+            server,
+            zone,
+            cell,
+            sent: now,
+            pending: true,
+            response_started: None,
+            may_have_run: false,
+        });
         let timeout = self.attempt_timeout(now, id, to_origin, after_ejection, actions);
         actions.push(Action::Send { id, server, timeout });
     }
@@ -124,7 +132,7 @@
         let attempts_left = (request.attempts.len() as u32) < request.settings.max_attempts;
         let time_left = request.time_left(now);
         let class = self.settings.classes.get(request.class);
-        let repeatable = class.is_some_and(|c| c.idempotency != Idempotency::NonIdempotent && !c.stream);
+        let repeatable = class.is_some_and(Class::may_repeat);
         let delay = self.hedging_delay(request.class, time_left, after_ejection);
         // Work for an answer that has lost all its value would delay other requests.
         let worthless_late = time_left > 0.0 && class.is_some_and(|c| c.late_weight <= 0.0);
@@ -156,7 +164,8 @@
         let fetch = to_origin || known.is_some_and(|(_, fetch)| fetch);
         let cut_short = self.was_cut_short(now, &o, class);
         if fetch {
-            self.origin.record_fetch(now, class, &o, self.failure_rates.failures);
+            let wait = self.wait_for_response(&o);
+            self.origin.record_fetch(now, class, &o, wait, self.failure_rates.failures);
         }
         // If the server does not report hit or miss, an answer no slower than usual counts as a hit.
         let usual = self.traffic.latency(class).mean_plus(2.0);
@@ -167,6 +176,9 @@
             attempt.may_have_run = !o.status.never_ran();
         }
         request.failure_cause = FailureCause::of(&o, fetch);
+        if request.failure_cause == FailureCause::Late && request.response_started_in_time() {
+            request.failure_cause = FailureCause::Other;
+        }
         self.learn_from_answer(&o, to_origin, (o.elapsed as f64) < usual);
         if o.last {
             self.finish(now, &o, actions);
@@ -197,10 +209,12 @@
         }
     }
 
-    /// Ends a request that has its answer: records the result and cancels the attempts still in flight.
+    /// Ends a request that has its answer: records the result and cancels the attempts still in flight, but
+    /// for those whose end is to show whether their servers hang.
     fn finish(&mut self, now: Nanos, o: &Outcome, actions: &mut Vec<Action>) {
         let Some(request) = self.remove_request(o.id) else { return };
-        let late_weight = self.settings.classes.get(request.class).map_or(0.0, |c| c.late_weight);
+        let class = self.settings.classes.get(request.class);
+        let (late_weight, objective) = class.map_or((0.0, 0), |c| (c.late_weight, c.latency_objective));
         let served = o.status == Status::Ok;
         let mut weight_fraction = 0.0;
         if served {
@@ -210,7 +224,8 @@
         self.admission.record_end(&request, weight_fraction);
         self.record_wait(now, &request, served);
         if request.settings.cancellation {
-            let pending = request.attempts.iter().enumerate().filter(|(_, a)| a.pending);
+            let cancelled = |a: &Attempt| a.pending && !request.may_finish_response(a, objective);
+            let pending = request.attempts.iter().enumerate().filter(|(_, a)| cancelled(a));
             actions.extend(pending.map(|(n, _)| Action::Cancel { id: o.id, attempt: n as u32 }));
         }
     }
--- a/crates/decision/src/logic/origin_protection.rs
+++ b/crates/decision/src/logic/origin_protection.rs
@@ -74,12 +74,14 @@
         self.in_flight = (self.in_flight - fetches).max(0.0);
     }
 
-    /// Adapts the limit to the outcome of a fetch; `failing` is the fraction of all attempts that fail.
+    /// Adapts the limit to the outcome of a fetch, whose answer began to arrive after `wait`; `failing` is
+    /// the fraction of all attempts that fail. An answer that begins in time and takes long is no sign of
+    /// overload.
     /// Without a limit, an overloaded origin works on fetches that nobody waits for any more; these fill no
     /// cache, so that every read stays a miss and the overload sustains itself.
-    pub fn record_fetch(&mut self, now: Nanos, class: Option<usize>, o: &Outcome, failing: f64) {
+    pub fn record_fetch(&mut self, now: Nanos, class: Option<usize>, o: &Outcome, wait: Nanos, failing: f64) {
         self.release(1.0);
-        let in_time = o.status == Status::Ok && o.elapsed <= self.time_allowed(class);
+        let in_time = o.status == Status::Ok && wait <= self.time_allowed(class);
         // A broken connection is not a sign of overload.
         if matches!(o.status, Status::Cancelled | Status::NotSent | Status::ConnectFailed | Status::Reset) {
             return;
--- a/crates/decision/src/logic/request.rs
+++ b/crates/decision/src/logic/request.rs
@@ -14,6 +14,8 @@
     pub sent: Nanos,
     /// Whether it is still in flight.
     pub pending: bool,
+    /// When the first byte of its answer arrived.
+    pub response_started: Option<Nanos>,
     /// Whether it has ended and may have run.
     pub may_have_run: bool,
 }
@@ -86,6 +88,12 @@
         self.attempts.iter().any(|a| a.pending)
     }
 
+    /// Whether an attempt's answer began to arrive within the latency objective.
+    pub fn response_started_in_time(&self) -> bool {
+        let in_time = |a: &Attempt| a.response_started.is_some_and(|at| at <= self.objective_at);
+        self.attempts.iter().any(in_time)
+    }
+
     /// Whether its settings allow one more attempt.
     pub fn may_attempt_again(&self) -> bool {
         (self.attempts.len() as u32) < self.settings.max_attempts.max(1)
--- a/crates/decision/tests/memory.rs
+++ b/crates/decision/tests/memory.rs
@@ -33,6 +33,9 @@
         let (id, actions) = p.request((n * 3000 + i).wrapping_mul(0x9e37_79b9_7f4a_7c15));
         let Some(server) = sent(&actions) else { continue };
         let hit = Some(i % 5 == 0);
+        if i % 3 == 0 {
+            p.event(Event::ResponseStarted { id, attempt: 0 });
+        }
         let actions = match i % 8 {
             0 => p.end(id, 0, server, Status::Timeout, None),
             1 => p.end(id, 0, server, Status::ConnectFailed, None),
--- a/crates/decision/tests/robustness.rs
+++ b/crates/decision/tests/robustness.rs
@@ -51,6 +51,10 @@
         let (id, mut actions) = p.submit(request);
         for attempt in 0..3 {
             let Some(server) = sent(&actions) else { break };
+            if i % 2 == 0 {
+                p.event(Event::ResponseStarted { id, attempt });
+                p.event(Event::ResponseStarted { id: i, attempt: u32::MAX });
+            }
             let status = [Status::Ok, Status::Miss, Status::Timeout, Status::ConnectFailed][i as usize % 4];
             let (elapsed, last) = (long, status == Status::Ok);
             let hit = Some(i % 2 == 0);
--- a/crates/decision/tests/rules.rs
+++ b/crates/decision/tests/rules.rs
@@ -20,6 +20,10 @@
         which: usize,
         status: usize,
     },
+    /// The first byte of an answer arrives.
+    Begin {
+        which: usize,
+    },
     Pass {
         ms: u64,
     },
@@ -42,6 +46,7 @@
         4 => (0u32..5, 0u64..40, 0u64..900, any::<bool>())
             .prop_map(|(class, key, remaining, write)| Step::Ask { class, key, remaining, write }),
         5 => (0usize..64, 0usize..9).prop_map(|(which, status)| Step::End { which, status }),
+        2 => (0usize..64).prop_map(|which| Step::Begin { which }),
         3 => (0u64..300).prop_map(|ms| Step::Pass { ms }),
         1 => (
             0u64..8,
@@ -132,6 +137,13 @@
                     assert!(!r.finished, "two final answers");
                     r.finished = true;
                 }
+                Action::AwaitResponse { id, attempt, max_pause } => {
+                    let r = self.requests.get_mut(&id).expect("a known request");
+                    let t = &mut r.attempts[attempt as usize];
+                    assert!(t.pending && !r.finished, "an answer is awaited that nobody waits for");
+                    // Nothing more of it comes.
+                    t.due = if max_pause == 0 { r.deadline } else { r.deadline.min(now + max_pause) };
+                }
                 Action::Timer { token, delay } => self.timers.push((now + delay, token)),
                 Action::Cancel { id, attempt } => {
                     assert!(self.requests[&id].settings_at_arrival.cancellation);
@@ -279,19 +291,27 @@
         self.check(actions);
     }
 
+    /// Returns one of the attempts in flight, by its number among them.
+    fn pending(&self, which: usize) -> Option<(RequestId, usize)> {
+        let attempts = self.requests.iter().flat_map(|(id, r)| {
+            r.attempts.iter().enumerate().filter(|(_, t)| t.pending).map(move |(n, _)| (*id, n))
+        });
+        let pending: Vec<(RequestId, usize)> = attempts.collect();
+        pending.get(which % pending.len().max(1)).copied()
+    }
+
     fn step(&mut self, step: Step) {
         match step {
             Step::Ask { class, key, remaining, write } => self.request(class, key, remaining, write),
             Step::End { which, status } => {
-                let pending: Vec<(RequestId, usize)> = self
-                    .requests
-                    .iter()
-                    .flat_map(|(id, r)| {
-                        r.attempts.iter().enumerate().filter(|(_, t)| t.pending).map(move |(n, _)| (*id, n))
-                    })
-                    .collect();
-                if let Some((id, n)) = pending.get(which % pending.len().max(1)) {
-                    self.finish(*id, *n, STATUSES[status]);
+                if let Some((id, n)) = self.pending(which) {
+                    self.finish(id, n, STATUSES[status]);
+                }
+            }
+            Step::Begin { which } => {
+                if let Some((id, n)) = self.pending(which) {
+                    let actions = self.proxy.event(Event::ResponseStarted { id, attempt: n as u32 });
+                    self.check(actions);
                 }
             }
             Step::Pass { ms } => self.pass(self.proxy.now + ms * MS),
--- a/crates/lab-sim/src/run.rs
+++ b/crates/lab-sim/src/run.rs
@@ -200,6 +200,8 @@
     fn perform(&mut self, proxy: u32, action: Action) {
         match action {
             Action::Send { id, server, timeout } => self.send(proxy, id, server, timeout),
+            // Simulated answers arrive whole, so that none is announced by its first byte.
+            Action::AwaitResponse { .. } => {}
             Action::Cancel { id, attempt } => self.cancel_attempt(proxy, id, attempt as usize),
             Action::Reject { id, retry_after } => {
                 self.answer(proxy, id, ClientOutcome::Refused, Some(Duration::from_nanos(retry_after)));
--- a/crates/proxy/src/socket/io.rs
+++ b/crates/proxy/src/socket/io.rs
@@ -54,6 +54,9 @@
                 }
                 Ok(n) => {
                     self.0.max_incoming.set(self.0.max_incoming.get() - n);
+                    if n > 0 {
+                        self.0.note_read();
+                    }
                     return Poll::Ready(Ok(n));
                 }
                 failed => return Poll::Ready(failed),
@@ -75,9 +78,9 @@
         if self.0.write_began.get() {
             return Ok(FirstWrite::Allowed(None));
         }
-        let check = self.0.first_write_check.borrow();
-        let Some(check) = &*check else { return Ok(FirstWrite::Allowed(None)) };
-        let Some(time_left) = check.time_left() else {
+        let observer = self.0.observer.borrow();
+        let Some(observer) = &*observer else { return Ok(FirstWrite::Allowed(None)) };
+        let Some(time_left) = observer.time_left() else {
             self.0.withheld.set(true);
             return Err(io::Error::other("the request was withheld by the check before its first byte"));
         };
@@ -91,7 +94,7 @@
                 ));
             }
         }
-        check.write_begins();
+        observer.write_begins();
         Ok(FirstWrite::Allowed(time_left::replace_in_head(head, time_left)))
     }
 
--- a/crates/proxy/src/socket/mod.rs
+++ b/crates/proxy/src/socket/mod.rs
@@ -38,13 +38,17 @@
     Unknown,
 }
 
-/// A check right before the first byte of a message is written.
-pub trait FirstWriteCheck {
+/// Follows a message that is written and its answer: a check right before the first byte of the message is written,
+/// and notes of what happens then.
+pub trait MessageObserver {
     /// Returns how much time the message has left; `None` if it must no longer be written.
     fn time_left(&self) -> Option<Duration>;
 
     /// Notes that the first byte is being written.
     fn write_begins(&self);
+
+    /// Notes that the first byte of the answer has been read.
+    fn answer_begins(&self);
 }
 
 /// A TCP stream shared between hyper, which reads and writes it through [`Io`], and the tasks that watch it.
@@ -66,8 +70,10 @@
     max_incoming: Cell<usize>,
     /// How many bytes are read at once at most.
     max_read: Cell<usize>,
-    /// The check before the first byte of the message is written.
-    first_write_check: RefCell<Option<Box<dyn FirstWriteCheck>>>,
+    /// What follows the message and its answer.
+    observer: RefCell<Option<Box<dyn MessageObserver>>>,
+    /// When bytes of the answer to the message were last read.
+    last_answer_read: Cell<Option<Instant>>,
     /// Whether the check forbade the write.
     withheld: Cell<bool>,
     /// The known state of the peer.
@@ -90,17 +96,19 @@
             last_write: Cell::new(Instant::now()),
             max_incoming: Cell::new(usize::MAX),
             max_read: Cell::new(usize::MAX),
-            first_write_check: RefCell::default(),
+            observer: RefCell::default(),
+            last_answer_read: Cell::default(),
             withheld: Cell::new(false),
             peer: PeerState::default(),
             _permit: permit,
         })
     }
 
-    /// Prepares for a new message, written only if `check` then allows it; at most `max_incoming` bytes may
+    /// Prepares for a new message, written only if `observer` then allows it; at most `max_incoming` bytes may
     /// be received in answer.
-    pub fn begin_message(&self, max_incoming: usize, check: Box<dyn FirstWriteCheck>) {
-        self.first_write_check.replace(Some(check));
+    pub fn begin_message(&self, max_incoming: usize, observer: Box<dyn MessageObserver>) {
+        self.observer.replace(Some(observer));
+        self.last_answer_read.set(None);
         self.max_incoming.set(max_incoming);
         self.max_read.set(usize::MAX);
         self.write_began.set(false);
@@ -147,6 +155,22 @@
         self.write_began.get() && self.last_write.get().elapsed() < time
     }
 
+    /// Returns when bytes of the answer to the message were last read; `None` if none were.
+    pub fn last_answer_read(&self) -> Option<Instant> {
+        self.last_answer_read.get()
+    }
+
+    /// Notes that bytes were read; after the beginning of a message they belong to its answer.
+    fn note_read(&self) {
+        if !self.write_began.get() {
+            return;
+        }
+        let Some(observer) = &*self.observer.borrow() else { return };
+        if self.last_answer_read.replace(Some(Instant::now())).is_none() {
+            observer.answer_begins();
+        }
+    }
+
     /// Prepares for a large body: lifts the limit on received bytes, which is enforced elsewhere, and limits
     /// the kernel's buffers.
     pub fn prepare_for_streaming(&self) {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -17,12 +17,14 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
-use tokio::time::{sleep_until, Instant};
+use tokio::time::{sleep, sleep_until, Instant};
 
 /// The maximum number of bytes received in answer to a request. Eight times the largest buffered body leaves
 /// room for the body's framing and for interim answers before it. Hyper reads on as long as interim answers
 /// arrive, and does not report them.
 const MAX_ANSWER_BYTES: usize = 8 * MAX_BUFFERED_BODY_BYTES;
+/// How long an attempt whose time is over waits for unread bytes to be read.
+const UNREAD_INPUT_GRACE: Duration = Duration::from_millis(2);
 /// How often [`WriteCheck`] may withhold the request of an attempt before the attempt is given up.
 const MAX_WITHHELD: usize = 2;
 
@@ -31,9 +33,9 @@
     pub(super) pool: &'a Rc<Upstreams>,
     pub(super) server: ServerId,
     pub(super) job: &'a Job,
-    /// The deadline for writing the first byte of the request, and for the attempt. An attempt with a
-    /// streamed body that has not arrived when it begins instead ends [`Attempt::time_limit`] after the body's
-    /// last byte arrived.
+    /// The deadline for writing the first byte of the request, and for the first byte of its answer. An attempt
+    /// with a streamed body that has not arrived when it begins instead waits for that until
+    /// [`Attempt::time_limit`] after the body's last byte arrived.
     pub(super) deadline: Instant,
     /// The total time allowed.
     pub(super) time_limit: Duration,
@@ -109,8 +111,8 @@
 }
 
 impl Attempt<'_> {
-    /// Makes the attempt. It ends at its deadline or, if the body has not arrived when it begins, `time_limit`
-    /// after the body's last byte arrived.
+    /// Makes the attempt. Without an answer it ends at its deadline or, if the body has not arrived when it
+    /// begins, `time_limit` after the body's last byte arrived.
     pub(super) async fn run(&self) -> Outcome {
         tokio::select! {
             // `never_sent` resolves when the engine forbids writing before the request was fully written. As
@@ -142,21 +144,68 @@
     /// Waits until the time for the attempt is over or its node is stuck: the request is not fully written,
     /// and the node has accepted no bytes of it for too long (see [`AttemptHandle::stuck`]).
     async fn wait_for_timeout(&self) {
-        let time_over = async {
-            match self.job.body.upload() {
-                Some(upload) if upload.arrival().at().is_none() => {
-                    let arrived_at = upload.arrival().wait().await;
-                    sleep_until(arrived_at + self.time_limit).await;
-                }
-                _ => sleep_until(self.deadline).await,
+        tokio::select! {
+            () = self.handle.stuck() => {}
+            () = self.time_over() => {}
+        }
+    }
+
+    /// Waits until the time for the attempt is over. Once the answer has begun to arrive, that is the time that
+    /// the engine allows then: the node is giving the answer, however long the rest of the head takes.
+    async fn time_over(&self) {
+        let wait = tokio::select! {
+            biased;
+            wait = self.handle.response_started() => wait,
+            () = self.silent_too_long() => return,
+        };
+        self.log.response_started();
+        let Some(wait) = wait else { return self.limit_reached(self.time_limit).await };
+        let paused = async {
+            match wait.max_pause {
+                Some(max_pause) => self.handle.paused_for(max_pause).await,
+                None => std::future::pending().await,
+            }
+        };
+        let over = async {
+            match wait.since {
+                Some(since) => sleep_until(Instant::from_std(since) + wait.time_limit).await,
+                None => self.limit_reached(wait.time_limit).await,
             }
         };
         tokio::select! {
-            () = self.handle.stuck() => {}
-            () = time_over => {}
+            () = paused => {}
+            () = over => {}
+        }
+    }
+
+    /// Waits until the time for the first byte of the answer is over. If the process was delayed, that byte may
+    /// be in the kernel's buffer by then.
+    async fn silent_too_long(&self) {
+        self.limit_reached(self.time_limit).await;
+        if self.handle.has_unread_input() {
+            sleep(UNREAD_INPUT_GRACE).await;
+        }
+    }
+
+    /// Waits until the attempt's deadline or, if its body is still to come, `time_limit` after the arrival of the
+    /// body's last byte.
+    async fn limit_reached(&self, time_limit: Duration) {
+        match self.job.body.upload() {
+            Some(upload) if upload.arrival().at().is_none() => {
+                let arrived_at = upload.arrival().wait().await;
+                sleep_until(arrived_at + time_limit).await;
+            }
+            _ => sleep_until(self.deadline).await,
         }
     }
 
+    /// Returns the deadline for an answer that has begun to arrive.
+    fn response_deadline(&self) -> Instant {
+        let wait = self.handle.response_wait();
+        let until = wait.and_then(|wait| Some(Instant::from_std(wait.since?) + wait.time_limit));
+        until.map_or(self.deadline, |until| until.max(self.deadline))
+    }
+
     /// Tries connections one after the other until one gives an outcome.
     async fn exchange(&self) -> Outcome {
         let mut withheld = 0;
@@ -189,7 +238,7 @@
         let response = connection.sender.send_request(self.request(body, addr)).await;
         let Ok(response) = response else { return Err(self.send_error(&connection, reused)) };
         self.log.head_received();
-        match receive(response, &self.pool.answer_budget, self.deadline).await {
+        match receive(response, &self.pool.answer_budget, self.response_deadline()).await {
             Received::Unusable(error) => {
                 self.log.unusable(&error);
                 Err(TryError::Ended(Status::Reset))
--- a/crates/proxy/src/upstream/attempt_log.rs
+++ b/crates/proxy/src/upstream/attempt_log.rs
@@ -16,6 +16,8 @@
     server: ServerId,
     addr: Cell<Option<SocketAddr>>,
     started_at: Instant,
+    /// When the first byte of the answer was received.
+    response_at: Cell<Option<Instant>>,
     /// When the head of the answer was received.
     head_at: Cell<Option<Instant>>,
     ended: Cell<bool>,
@@ -30,6 +32,7 @@
             server,
             addr: Cell::default(),
             started_at: Instant::now(),
+            response_at: Cell::default(),
             head_at: Cell::default(),
             ended: Cell::default(),
         }
@@ -40,6 +43,11 @@
         self.addr.set(Some(addr));
     }
 
+    /// Notes that the answer has begun to arrive.
+    pub(super) fn response_started(&self) {
+        self.response_at.set(Some(Instant::now()));
+    }
+
     /// Notes that the head of the answer has been received.
     pub(super) fn head_received(&self) {
         self.head_at.set(Some(Instant::now()));
@@ -53,7 +61,7 @@
     /// Records the outcome.
     pub(super) fn end(&self, status: Status) {
         self.ended.set(true);
-        if self.head_at.get().is_some() && status == Status::Timeout {
+        if self.has_answer_begun() && status == Status::Timeout {
             self.metrics.count(Metric::TimedOut);
             tracing::info!("{} ended in the middle of its answer, for lack of time", self.describe());
         } else {
@@ -61,14 +69,21 @@
         }
     }
 
+    fn has_answer_begun(&self) -> bool {
+        self.head_at.get().is_some() || self.response_at.get().is_some()
+    }
+
     fn describe(&self) -> String {
         let addr = self.addr.get().map_or_else(|| "no address".to_owned(), |addr| addr.to_string());
-        let head = self.head_at.get().map_or_else(
-            || "no answer".to_owned(),
-            |at| format!("the head of an answer after {:?}", at - self.started_at),
-        );
+        let answer = match (self.head_at.get(), self.response_at.get()) {
+            (Some(at), _) => format!("the head of an answer after {:?}", at - self.started_at),
+            (None, Some(at)) => {
+                format!("the first byte of an answer after {:?} and no whole head", at - self.started_at)
+            }
+            (None, None) => "no answer".to_owned(),
+        };
         format!(
-            "request {}: attempt at {:016x} ({addr}), {:?} long, {head},",
+            "request {}: attempt at {:016x} ({addr}), {:?} long, {answer},",
             self.job.id.to_str().unwrap_or_default(),
             self.server,
             self.started_at.elapsed()
@@ -81,7 +96,7 @@
         if self.ended.get() {
             return;
         }
-        if self.head_at.get().is_some() {
+        if self.has_answer_begun() {
             self.metrics.count(Metric::Cancelled);
         }
         tracing::debug!("{} cancelled", self.describe());
--- a/crates/proxy/src/upstream/write_check.rs
+++ b/crates/proxy/src/upstream/write_check.rs
@@ -5,7 +5,7 @@
 use super::handle::AttemptHandle;
 use super::Upstreams;
 use crate::request_ids::ReservedId;
-use crate::socket::{FirstWriteCheck, PeekedPresence, PeerHandle};
+use crate::socket::{MessageObserver, PeekedPresence, PeerHandle};
 use aniseyoke_decision::api::ServerId;
 use std::rc::Weak;
 use std::time::Duration;
@@ -34,7 +34,7 @@
     pub deadline: Instant,
 }
 
-impl FirstWriteCheck for WriteCheck {
+impl MessageObserver for WriteCheck {
     /// Checks the client last: a client that leaves after this check goes unnoticed, however long the process
     /// is delayed before the write itself.
     fn time_left(&self) -> Option<Duration> {
@@ -60,4 +60,10 @@
             reserved_id.mark_sent();
         }
     }
+
+    fn answer_begins(&self) {
+        if let Some(handle) = self.handle.upgrade() {
+            handle.note_response();
+        }
+    }
 }
--- a/crates/proxy/tests/platform/mod.rs
+++ b/crates/proxy/tests/platform/mod.rs
@@ -224,6 +224,8 @@
     pub deadline: Duration,
     /// How long a node is cold after its start; zero if no node is.
     pub cold: Duration,
+    /// What an answer is worth after half of the deadline, as a fraction.
+    pub late_value: f64,
 }
 
 impl Drop for Platform {
@@ -249,6 +251,7 @@
             known: list(0, true, &[]),
             deadline: DEADLINE,
             cold: Duration::ZERO,
+            late_value: 0.5,
         }
     }
 
@@ -278,6 +281,7 @@
         for class in config["settings"]["categories"].as_array_mut().expect("classes") {
             class["deadline_ns"] = json!(self.deadline.as_nanos() as u64);
             class["promise_ns"] = json!(self.deadline.as_nanos() as u64 / 2);
+            class["late_value"] = json!(self.late_value);
         }
         let socket = OwnedFd::from(self.listener.try_clone().expect("a copy"));
         let mut proxy = Proxy::with(&config, |command| {
