Laboratory: nodes that hang in the middle of the heads of their answers

Need: what such nodes cost, before and after, could not be played.

Two tests of slow answers share their configuration.

--- a/crates/lab-day/src/fault.rs
+++ b/crates/lab-day/src/fault.rs
@@ -51,6 +51,8 @@
     Oversize,
     /// Responses are written `size` bytes at a time.
     Pieces,
+    /// Responses stop in the middle of their heads, and their connections stay open.
+    StuckHead,
     /// Discovery rejects requests and resets connections.
     DiscoveryDown,
     /// Discovery lists some of the live nodes as draining.
--- a/crates/lab-sim/src/run.rs
+++ b/crates/lab-sim/src/run.rs
@@ -107,6 +107,11 @@
 
     fn apply_effect(&mut self, effect: Effect) {
         match effect {
+            Effect::Reply { attempt_id, reply: Reply::Served { .. }, delivery: Delivery::Stuck } => {
+                if let Some(in_flight) = self.in_flight.get_mut(&attempt_id) {
+                    in_flight.dead = true;
+                }
+            }
             Effect::Reply { attempt_id, reply, delivery } => {
                 let reply = match (reply, delivery) {
                     (Reply::Served { hit, .. }, Delivery::Unmodified | Delivery::Fragmented(_)) => {
--- a/crates/lab-sim/src/tests.rs
+++ b/crates/lab-sim/src/tests.rs
@@ -74,14 +74,15 @@
 /// closed, the attempt must end by its proxy's own timeout, and later replies must not count.
 #[test]
 fn attempts_end_once_under_each_fault_of_their_nodes() {
-    for kind in [FaultKind::HalfOpen, FaultKind::Silence, FaultKind::Crash, FaultKind::Cut] {
+    let silent_kinds = [FaultKind::HalfOpen, FaultKind::Silence, FaultKind::StuckHead];
+    for kind in silent_kinds.into_iter().chain([FaultKind::Crash, FaultKind::Cut]) {
         let mut day = quiet_day(20, 10, 8);
         day.faults = vec![fault(kind, 0.3, None)];
         let counts = play(&day, None);
         let (attempts, ended) = (sum(&counts, |s| s.attempts), sum(&counts, |s| s.causes.iter().sum()));
         assert_eq!(attempts, ended, "{kind:?}");
         let timed_out = sum(&counts, |s| s.timed_out[0]);
-        let silent = matches!(kind, FaultKind::HalfOpen | FaultKind::Silence);
+        let silent = silent_kinds.contains(&kind);
         assert!(!silent || timed_out > 0, "{kind:?} causes timeouts");
     }
 }
--- a/crates/lab-site/src/node.rs
+++ b/crates/lab-site/src/node.rs
@@ -294,6 +294,12 @@
             http.closed().await;
             Ok(())
         }
+        Delivery::Stuck => {
+            let head = head(body.len() as u64);
+            http.write(&head.as_bytes()[..head.len() / 2]).await?;
+            http.closed().await;
+            Err(io::ErrorKind::ConnectionAborted.into())
+        }
         Delivery::Oversize => {
             http.write(head(3 << 30).as_bytes()).await?;
             let mut sent = 0;
--- a/crates/lab-world/src/fault_schedule.rs
+++ b/crates/lab-world/src/fault_schedule.rs
@@ -101,7 +101,11 @@
             add(end, FaultEvent::Slow(origin, 1.0));
         }
         FaultKind::HalfOpen => targets.iter().for_each(|m| add(at, FaultEvent::HalfOpen(*m))),
-        FaultKind::Cut | FaultKind::Spoilt | FaultKind::Oversize | FaultKind::Pieces => {
+        FaultKind::Cut
+        | FaultKind::Spoilt
+        | FaultKind::Oversize
+        | FaultKind::Pieces
+        | FaultKind::StuckHead => {
             add(at, FaultEvent::Responses(index, true));
             add(end, FaultEvent::Responses(index, false));
         }
--- a/crates/lab-world/src/lib.rs
+++ b/crates/lab-world/src/lib.rs
@@ -64,6 +64,8 @@
     Malformed,
     /// The response announces 3 GB, sends part of it and stalls.
     Oversize,
+    /// The response stalls in the middle of its head.
+    Stuck,
 }
 
 /// A member's reply to an attempt.
--- a/crates/lab-world/src/serve.rs
+++ b/crates/lab-world/src/serve.rs
@@ -102,6 +102,7 @@
                     FaultKind::Cut => Delivery::Truncated,
                     FaultKind::Spoilt => Delivery::Malformed,
                     FaultKind::Oversize => Delivery::Oversize,
+                    FaultKind::StuckHead => Delivery::Stuck,
                     _ => Delivery::Fragmented(fault.size.unwrap_or(1.0).max(1.0) as usize),
                 };
             }
--- a/crates/proxy/tests/bodies/mod.rs
+++ b/crates/proxy/tests/bodies/mod.rs
@@ -1,7 +1,8 @@
 //! Clients and nodes whose bodies come in shapes that a seed draws: framing, size, pauses, pace, and who stops when.
 #![allow(dead_code)]
 
-use crate::rig::{Peer, Server, STEP_TIMEOUT};
+use crate::rig::{config, Peer, Server, STEP_TIMEOUT};
+use serde_json::{json, Value};
 use std::io::{BufRead, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::ops::Range;
@@ -13,6 +14,17 @@
 /// Answers over this length are timed by their first byte.
 pub const BUFFERED_BYTES: usize = 64 << 10;
 
+/// Returns a configuration whose classes have short deadlines, and answers after the wanted time are worth nothing.
+pub fn short_deadlines(discovery: SocketAddr, servers: &[Value]) -> Value {
+    let mut config = config(discovery, servers);
+    for class in config["settings"]["categories"].as_array_mut().expect("classes") {
+        class["promise_ns"] = json!(600_000_000u64);
+        class["deadline_ns"] = json!(1_500_000_000u64);
+        class["late_value"] = json!(0.0);
+    }
+    config
+}
+
 /// Returns the seeds of a test: those that the variable names as `FROM..TO`, or the default.
 pub fn seeds(variable: &str, default: Range<u64>) -> Range<u64> {
     let Ok(text) = std::env::var(variable) else { return default };
--- a/crates/proxy/tests/slow_answers.rs
+++ b/crates/proxy/tests/slow_answers.rs
@@ -6,7 +6,6 @@
 
 use bodies::*;
 use rig::*;
-use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::sync::Arc;
@@ -20,17 +19,6 @@
 /// How long the proxy may hold back bytes that it has.
 const MAX_HOLD: Duration = Duration::from_secs(2);
 
-/// The classes of a site: an answer after the wanted time is worth nothing.
-fn site(discovery: std::net::SocketAddr, servers: &[Value]) -> Value {
-    let mut config = config(discovery, servers);
-    for class in config["settings"]["categories"].as_array_mut().expect("classes") {
-        class["promise_ns"] = json!(600_000_000u64);
-        class["deadline_ns"] = json!(1_500_000_000u64);
-        class["late_value"] = json!(0.0);
-    }
-    config
-}
-
 /// One request, and the answer that any node gives to it.
 #[derive(Clone, Debug)]
 struct Exchange {
@@ -109,7 +97,7 @@
             listed.push(member(&format!("c{node}"), addr, "std", "ready"));
         }
         let discovery = Server::new();
-        let proxy = Proxy::new(&site(discovery.addr, &listed));
+        let proxy = Proxy::new(&short_deadlines(discovery.addr, &listed));
         Play { proxy, records, exchanges, _discovery: discovery }
     }
 
--- a/crates/proxy/tests/slow_heads.rs
+++ b/crates/proxy/tests/slow_heads.rs
@@ -34,13 +34,7 @@
         let records = Records::default();
         let nodes = start_nodes(NODES, &exchanges, &records);
         let discovery = Server::new();
-        let mut config = config(discovery.addr, &listed(&nodes));
-        // An answer after the wanted time is worth nothing.
-        for class in config["settings"]["categories"].as_array_mut().expect("classes") {
-            class["promise_ns"] = json!(600_000_000u64);
-            class["deadline_ns"] = json!(1_500_000_000u64);
-            class["late_value"] = json!(0.0);
-        }
+        let mut config = short_deadlines(discovery.addr, &listed(&nodes));
         change(&mut config);
         Play { proxy: Proxy::new(&config), records, exchanges, _discovery: discovery }
     }
@@ -218,12 +212,7 @@
             };
             let nodes: Vec<SocketAddr> = (0..NODES).map(start).collect();
             let discovery = Server::new();
-            let mut config = config(discovery.addr, &listed(&nodes));
-            for class in config["settings"]["categories"].as_array_mut().expect("classes") {
-                class["promise_ns"] = json!(600_000_000u64);
-                class["deadline_ns"] = json!(1_500_000_000u64);
-                class["late_value"] = json!(0.0);
-            }
+            let config = short_deadlines(discovery.addr, &listed(&nodes));
             let proxy = Proxy::new(&config);
             let ask = |key: usize| {
                 let mut client = proxy.client();
@@ -322,13 +311,8 @@
         let start = |_| serve(Server::new(), move |peer| serve_endless(endless, peer));
         let nodes: Vec<SocketAddr> = (0..NODES).map(start).collect();
         let discovery = Server::new();
-        let mut config = config(discovery.addr, &listed(&nodes));
+        let mut config = short_deadlines(discovery.addr, &listed(&nodes));
         config["limits"]["memory_mb"] = json!(MEMORY_MB);
-        for class in config["settings"]["categories"].as_array_mut().expect("classes") {
-            class["promise_ns"] = json!(600_000_000u64);
-            class["deadline_ns"] = json!(1_500_000_000u64);
-            class["late_value"] = json!(0.0);
-        }
         let proxy = Proxy::new(&config);
         let (addr, process) = (proxy.addr, proxy.child.id());
         let clients: Vec<_> = (0..ASKED)
