Test: a first byte that is unread when its time is over counts

Change: the process is stopped while the node writes the first byte, past the wanted time, and goes on.

--- a/crates/proxy/tests/slow_heads.rs
+++ b/crates/proxy/tests/slow_heads.rs
@@ -169,6 +169,28 @@
     }
 }
 
+/// Guards against an answer that is cut off since the process was held up: its first byte came in time and is still
+/// unread when the time for it is over.
+#[test]
+fn a_first_byte_that_is_unread_when_its_time_is_over_counts() {
+    let (node, discovery) = (Server::new(), Server::new());
+    let proxy = Proxy::new(&short_deadlines(discovery.addr, &[member("c0", node.addr, "std", "ready")]));
+    let mut client = proxy.client();
+    client.write(&get("order", "X-Time-Left: 1.4\r\n"));
+    let sent_at = Instant::now();
+    let mut attempt = node.take();
+    attempt.request();
+    proxy.pause();
+    attempt.write("HTTP/1.1 200 OK\r\n");
+    // The wanted time of 0.6 s passes.
+    std::thread::sleep(Duration::from_millis(650).saturating_sub(sent_at.elapsed()));
+    proxy.signal("-CONT");
+    std::thread::sleep(Duration::from_millis(850).saturating_sub(sent_at.elapsed()));
+    attempt.write("X-Lookup: hit\r\nContent-Length: 5\r\n\r\nvalue");
+    let answer = client.answer();
+    assert_eq!((answer.status(), &answer.body[..]), (200, &b"value"[..]), "after {:?}", sent_at.elapsed());
+}
+
 /// How a node hangs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Hang {
