--- a/crates/core/src/engine/tests.rs
+++ b/crates/core/src/engine/tests.rs
@@ -29,12 +29,20 @@
     }
 }
 
+/// Keeps what the engine sets for the answer to an attempt.
 #[derive(Default)]
-struct InertHandle;
+struct RecordingHandle {
+    response_callback: Cell<Option<Box<dyn FnOnce()>>>,
+    response_wait: Cell<Option<ResponseWait>>,
+}
 
-impl AttemptHandle for InertHandle {
-    fn on_response_started(&self, _callback: impl FnOnce() + 'static) {}
-    fn await_response(&self, _wait: ResponseWait) {}
+impl AttemptHandle for RecordingHandle {
+    fn on_response_started(&self, callback: impl FnOnce() + 'static) {
+        self.response_callback.set(Some(Box::new(callback)));
+    }
+    fn await_response(&self, wait: ResponseWait) {
+        self.response_wait.set(Some(wait));
+    }
     fn forbid_writing(&self) {}
     fn forbid_writing_after(&self, _since: Instant, _time: Duration) {}
     fn abort(&self) {}
@@ -45,6 +53,7 @@
 struct ManualTransport {
     /// Senders that end the started attempts, in order; `None` once used.
     attempts: RefCell<Vec<Option<oneshot::Sender<Status>>>>,
+    handles: RefCell<Vec<Rc<RecordingHandle>>>,
 }
 
 impl ManualTransport {
@@ -52,6 +61,15 @@
         self.attempts.borrow().len()
     }
 
+    /// Reports the first byte of the answer to an attempt; returns how long the engine lets it take.
+    fn start_response(&self, number: usize) -> Option<ResponseWait> {
+        let handle = self.handles.borrow()[number].clone();
+        if let Some(callback) = handle.response_callback.take() {
+            callback();
+        }
+        handle.response_wait.get()
+    }
+
     fn end(&self, number: usize, status: Status) {
         let end = self.attempts.borrow_mut()[number].take();
         // Sending fails if the attempt was cancelled.
@@ -62,7 +80,7 @@
 impl Transport for ManualTransport {
     type Job = EmptyJob;
     type Reply = ();
-    type Handle = InertHandle;
+    type Handle = RecordingHandle;
 
     fn update_endpoints(&self, _complete: bool, _endpoints: &[Endpoint]) {}
     fn set_banned(&self, _server: ServerId, _banned: bool) {}
@@ -76,9 +94,10 @@
         _job: Rc<EmptyJob>,
         _since: Instant,
         _time_limit: Duration,
-        _handle: Rc<InertHandle>,
+        handle: Rc<RecordingHandle>,
     ) -> impl Future<Output = AttemptOutcome<()>> + 'static {
         let (end, ended) = oneshot::channel();
+        self.handles.borrow_mut().push(handle);
         self.attempts.borrow_mut().push(Some(end));
         async move {
             let status = ended.await.unwrap_or(Status::Cancelled);
@@ -188,6 +207,27 @@
     });
 }
 
+/// Guards against an answer that has begun and is waited for past its client's time, or for nobody.
+#[test]
+fn an_answer_that_has_begun_may_take_the_time_that_its_client_has_left() {
+    run(|transport, engine| async move {
+        let (mut first, mut second) = (submit(&engine, 1), submit(&engine, 2));
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let wait = transport.start_response(0).expect("a wait");
+        let client_timeout = Duration::from_secs(2);
+        assert!(wait.since.is_some_and(|since| since.elapsed() < client_timeout));
+        assert!(wait.time_limit <= client_timeout - Duration::from_millis(20), "{wait:?}");
+        assert!(wait.time_limit > client_timeout / 2, "{wait:?}");
+        assert_eq!(wait.max_pause, None);
+        transport.end(0, Status::Ok);
+        assert!(matches!(first.answer().await, Answer::Served(())));
+        until(|| transport.started() == 2).await;
+        transport.end(1, Status::Ok);
+        assert!(matches!(second.answer().await, Answer::Served(())));
+        assert_eq!(transport.start_response(1), None, "its request has ended");
+    });
+}
+
 /// Guards against attempts that stay queued for ever when the limits are removed while they wait.
 #[test]
 fn queued_attempts_are_sent_when_limits_are_removed_and_each_request_gets_one_answer() {
